--- /dev/null
+++ b/apps/cli/entryclient.cpp
@@ -0,0 +1,76 @@
+#include "entryclient.h"
+
+#include <cpprest/http_client.h>
+
+#include <stdexcept>
+
+namespace cli {
+
+namespace {
+
+constexpr std::chrono::seconds kTimeout {15};
+constexpr int kStatusOk = 200;
+
+EntryAnswer call(const std::string &url, const web::http::http_request &request)
+{
+    web::http::client::http_client_config config;
+    config.set_timeout(kTimeout);
+    web::http::client::http_client client(web::uri(url), config);
+    const web::http::http_response response = client.request(request).get();
+    return {response.status_code(), response.extract_json(true).get()};
+}
+
+EntryAnswer getFrom(const std::string &url, const std::string &path)
+{
+    web::http::http_request request(web::http::methods::GET);
+    request.set_request_uri(path);
+    return call(url, request);
+}
+
+} // namespace
+
+EntryAnswer EntryClient::get(const std::string &path) const
+{
+    std::string failures;
+    for (const std::string &url : m_urls) {
+        try {
+            return getFrom(url, path);
+        } catch (const std::exception &error) {
+            failures += url + ": " + error.what() + "; ";
+        }
+    }
+    throw std::runtime_error("no entry host answered: " + failures);
+}
+
+EntryAnswer EntryClient::getFromAny(const std::string &path) const
+{
+    EntryAnswer last;
+    for (const std::string &url : m_urls) {
+        try {
+            last = getFrom(url, path);
+        } catch (const std::exception &) {
+            continue;
+        }
+        if (last.status == kStatusOk)
+            return last;
+    }
+    if (last.status == 0)
+        throw std::runtime_error("no entry host answered");
+    return last;
+}
+
+EntryAnswer EntryClient::post(const std::string &path, const web::json::value &body,
+                              bool isDryRun) const
+{
+    web::http::http_request request(web::http::methods::POST);
+    request.set_request_uri(path + (isDryRun ? "?dryRun=1" : ""));
+    request.set_body(body);
+    try {
+        return call(m_urls.front(), request);
+    } catch (const std::exception &error) {
+        throw std::runtime_error(m_urls.front() + ": " + error.what()
+                                 + "; the change may have been made: look at the status");
+    }
+}
+
+} // namespace cli
--- /dev/null
+++ b/apps/load/figures.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "attempt.h"
+
+namespace load {
+
+/// Prints requests by outcome, refusals by reason and latency percentiles.
+void printFigures(const std::vector<Attempt> &attempts);
+
+} // namespace load
--- /dev/null
+++ b/apps/load/historycheck.cpp
@@ -0,0 +1,244 @@
+#include "historycheck.h"
+
+#include "oleanderhall/fleet/fleetstate.h"
+
+#include <iostream>
+#include <set>
+
+namespace load {
+
+using namespace oleanderhall;
+
+namespace {
+
+constexpr std::int64_t kNewWorkBoundUs = 3000000; // 3 s after the first entry host could know
+constexpr double kMicrosPerSecond = 1e6;
+constexpr int kMaxPrinted = 10;
+
+std::string operationOf(const std::string &requestId)
+{
+    return requestId.substr(0, requestId.rfind('.'));
+}
+
+void checkRequests(const Records &records, CheckReport &report)
+{
+    std::map<std::string, std::vector<const Run *>> runsOfOperation;
+    std::map<std::string, int> runsOfRequest;
+    for (const Run &run : records.runs) {
+        runsOfOperation[operationOf(run.requestId)].push_back(&run);
+        ++runsOfRequest[run.requestId];
+    }
+    std::set<std::string> judged;
+    for (const Attempt &attempt : records.attempts) {
+        const auto &runs = runsOfOperation[attempt.operation];
+        if (attempt.isUnrepeatable && runs.size() > 1 && judged.insert(attempt.operation).second) {
+            ++report.doubleRuns;
+            report.violations.push_back("ran " + std::to_string(runs.size()) + " times: "
+                                        + runs[0]->requestId + " on " + runs[0]->host + ", "
+                                        + runs[1]->requestId + " on " + runs[1]->host);
+        }
+        if (attempt.ran == "no" && runsOfRequest[attempt.requestId()] > 0) {
+            ++report.falseNotRun;
+            report.violations.push_back("refused as not run, but ran: " + attempt.requestId()
+                                        + " reason " + attempt.reason);
+        }
+        if (attempt.wasAnswered() && attempt.answeredFor != "-"
+            && operationOf(attempt.answeredFor) != attempt.operation) {
+            ++report.wrongAnswers;
+            report.violations.push_back("answer of " + attempt.answeredFor + " went to "
+                                        + attempt.requestId());
+        }
+        if (attempt.wasAnswered() && runs.empty()) {
+            ++report.lostAnswers;
+            report.violations.push_back("answered without a run: " + attempt.requestId());
+        }
+    }
+}
+
+/// Replays the log and checks each planned disruption against the budget that it was admitted by.
+class LogChecker
+{
+public:
+    LogChecker(const Records &records, CheckReport &report) : m_records(records), m_report(report)
+    {
+        for (const Run &run : records.runs)
+            m_runsOfHost[run.host].push_back(&run);
+    }
+
+    void check()
+    {
+        double bufferSum = 0;
+        for (const LogEntry &entry : m_records.log) {
+            std::vector<HostRecord> before;
+            for (const Change &change : entry.changes) {
+                const auto *host = std::get_if<HostChange>(&change);
+                const HostRecord *known = host ? m_state.record(host->record.id) : nullptr;
+                if (known)
+                    before.push_back(*known);
+            }
+            if (!m_state.apply(entry)) {
+                m_report.violations.push_back("the log has a gap before sequence "
+                                              + std::to_string(entry.sequence.value));
+                return;
+            }
+            for (const HostRecord &known : before)
+                checkStep(entry, known, *m_state.record(known.id));
+            checkWaves(entry);
+            bufferSum += buffer();
+        }
+        if (!m_records.log.empty())
+            m_report.bufferHosts = bufferSum / static_cast<double>(m_records.log.size());
+    }
+
+private:
+    std::int64_t timeOf(const LogEntry &entry) const
+    {
+        const auto found = m_records.commitTimesUs.find(entry.operation);
+        return found == m_records.commitTimesUs.end() ? 0 : found->second;
+    }
+
+    void checkStep(const LogEntry &entry, const HostRecord &before, const HostRecord &after)
+    {
+        if (before.pool != after.pool) {
+            ++m_report.moves;
+            if (before.state != HostState::Stopped) {
+                ++m_report.poolViolations;
+                m_report.violations.push_back(after.id.name() + " changed its pool while "
+                                              + std::string(nameOf(before.state)));
+            }
+        }
+        const bool startsDrain =
+            before.state == HostState::Serving && after.state == HostState::Draining;
+        if (!startsDrain)
+            return;
+        checkLateWork(entry, after);
+        if (after.disruption != Disruption::Leave)
+            checkBudget(entry, after);
+    }
+
+    void checkBudget(const LogEntry &entry, const HostRecord &host)
+    {
+        const auto rule = m_state.config().pools.find(host.pool);
+        if (rule == m_state.config().pools.end())
+            return;
+        int available = 0;
+        int unavailable = 0;
+        std::set<RackId> racks;
+        for (const HostId id : m_state.hostsOf(host.pool)) {
+            const HostRecord &record = *m_state.record(id);
+            if (record.state == HostState::Serving) {
+                ++available;
+                continue;
+            }
+            ++unavailable;
+            const HostSpec *spec = m_state.spec(id);
+            if (record.disruption != Disruption::None && spec)
+                racks.insert(spec->rack);
+        }
+        if (available >= rule->second.minAvailable && unavailable <= rule->second.maxUnavailable
+            && static_cast<int>(racks.size()) <= rule->second.maxDisruptedRacks)
+            return;
+        ++m_report.budgetViolations;
+        m_report.violations.push_back(
+            "sequence " + std::to_string(entry.sequence.value) + " drains " + host.id.name()
+            + " of pool " + host.pool.name() + " with " + std::to_string(available)
+            + " available, " + std::to_string(unavailable) + " unavailable");
+    }
+
+    void checkLateWork(const LogEntry &entry, const HostRecord &host)
+    {
+        const std::int64_t drainedUs = timeOf(entry);
+        const std::int64_t againUs = nextJoinUs(entry, host.id);
+        for (const Run *run : m_runsOfHost[host.id.name()]) {
+            if (run->startUs <= drainedUs || (againUs > 0 && run->startUs >= againUs))
+                continue;
+            const std::int64_t late = run->startUs - drainedUs;
+            m_report.lastNewWorkUs = std::max(m_report.lastNewWorkUs, late);
+            if (late <= kNewWorkBoundUs)
+                continue;
+            ++m_report.lateWork;
+            m_report.violations.push_back(run->requestId + " started on " + run->host + " "
+                                          + std::to_string(late) + " us after its drain");
+        }
+    }
+
+    std::int64_t nextJoinUs(const LogEntry &drain, HostId host) const
+    {
+        for (const LogEntry &entry : m_records.log) {
+            if (entry.sequence <= drain.sequence)
+                continue;
+            for (const Change &change : entry.changes) {
+                const auto *hostChange = std::get_if<HostChange>(&change);
+                if (hostChange && hostChange->record.id == host
+                    && hostChange->record.state == HostState::Joining)
+                    return timeOf(entry);
+            }
+        }
+        return 0;
+    }
+
+    void checkWaves(const LogEntry &entry)
+    {
+        for (const Change &change : entry.changes) {
+            const auto *wave = std::get_if<WaveChange>(&change);
+            if (!wave)
+                continue;
+            if (!m_waveStartsUs.contains(wave->record.id))
+                m_waveStartsUs[wave->record.id] = timeOf(entry);
+            if (wave->record.status == WaveStatus::Done) {
+                const auto took = timeOf(entry) - m_waveStartsUs[wave->record.id];
+                m_report.rollOutSeconds = std::max(m_report.rollOutSeconds,
+                                                   static_cast<double>(took) / kMicrosPerSecond);
+            }
+        }
+    }
+
+    double buffer() const
+    {
+        int spare = 0;
+        for (const auto &[id, record] : m_state.hosts())
+            spare += record.state == HostState::Serving && record.instances.empty() ? 1 : 0;
+        return spare;
+    }
+
+    const Records &m_records;
+    CheckReport &m_report;
+    FleetState m_state;
+    std::map<std::string, std::vector<const Run *>> m_runsOfHost;
+    std::map<WaveId, std::int64_t> m_waveStartsUs;
+};
+
+} // namespace
+
+CheckReport checkHistory(const Records &records)
+{
+    CheckReport report;
+    checkRequests(records, report);
+    LogChecker(records, report).check();
+    return report;
+}
+
+bool printReport(const CheckReport &report)
+{
+    std::cout << "double executions      " << report.doubleRuns << "\n"
+              << "false 'not run'        " << report.falseNotRun << "\n"
+              << "wrong answers          " << report.wrongAnswers << "\n"
+              << "answers without a run  " << report.lostAnswers << "\n"
+              << "budget violations      " << report.budgetViolations << "\n"
+              << "pool violations        " << report.poolViolations << "\n"
+              << "late new work          " << report.lateWork << " (last "
+              << static_cast<double>(report.lastNewWorkUs) / kMicrosPerSecond
+              << " s after a drain, bound 3 s)\n"
+              << "moves                  " << report.moves << "\n"
+              << "roll-out time          " << report.rollOutSeconds << " s\n"
+              << "buffer cost            " << report.bufferHosts << " hosts without an instance\n";
+    int printed = 0;
+    for (const std::string &violation : report.violations) {
+        if (++printed > kMaxPrinted)
+            break;
+        std::cout << "VIOLATION " << violation << "\n";
+    }
+    return report.violations.empty();
+}
+
+} // namespace load
--- /dev/null
+++ b/include/oleanderhall/core/jsoncursor.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "oleanderhall/core/findinglist.h"
+
+#include <cpprest/json.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace oleanderhall {
+
+/// A JsonCursor reads one JSON value and records a Finding with its JSON pointer for every member
+/// that is missing, of the wrong type, out of range or unknown. Reading always goes on with a
+/// harmless value, so one pass reports all findings.
+class JsonCursor
+{
+public:
+    JsonCursor(const web::json::value &value, std::string file, std::string place,
+               FindingList &findings);
+
+    /// Returns the required, non-empty string member `key`, at most `kMaxNameLength` bytes long.
+    std::string text(std::string_view key) const { return text(key, kMaxNameLength); }
+    /// Returns the required, non-empty string member `key`, at most `longest` bytes long.
+    std::string text(std::string_view key, std::size_t longest) const;
+    /// Returns the optional string member `key`, or `fallback`.
+    std::string textOr(std::string_view key, std::string_view fallback) const;
+    /// Returns the required integer member `key`, which must lie between `low` and `high`.
+    std::int64_t number(std::string_view key, std::int64_t low, std::int64_t high) const;
+    /// Returns the optional integer member `key`, or `fallback`.
+    std::int64_t numberOr(std::string_view key, std::int64_t low, std::int64_t high,
+                          std::int64_t fallback) const;
+    /// Calls `visit` with a cursor for each element of the array member `key`. The member may be
+    /// missing only when `required` is false.
+    void each(std::string_view key, bool required,
+              const std::function<void(const JsonCursor &)> &visit) const;
+    /// Calls `visit` with a cursor for the object member `key` when there is one.
+    void with(std::string_view key, const std::function<void(const JsonCursor &)> &visit) const;
+    /// Records a finding for every member that is not named in `known` or stands twice.
+    void allowOnly(std::initializer_list<std::string_view> known) const;
+    /// Records a finding at the member `key` of this value.
+    void report(std::string_view key, std::string problem, std::string expected) const;
+
+    const web::json::value &value() const { return m_value; }
+    const std::string &place() const { return m_place; }
+
+    static constexpr std::size_t kMaxNameLength = 256; // bytes
+
+private:
+    const web::json::value *member(std::string_view key, bool required) const;
+
+    const web::json::value &m_value;
+    std::string m_file;
+    std::string m_place;
+    FindingList &m_findings;
+};
+
+/// Parses `text` as JSON. Throws InvalidDocument, naming `file`, when it is not JSON.
+web::json::value parseJson(const std::string &text, const std::string &file);
+
+} // namespace oleanderhall
--- /dev/null
+++ b/include/oleanderhall/fleet/poolbudget.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "oleanderhall/fleet/fleetstate.h"
+#include "oleanderhall/fleet/observations.h"
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace oleanderhall {
+
+/// A PoolBudget counts what a pool has left of its availability budget, planned and unplanned
+/// unavailability together. Count it anew for each decision; admit() keeps it right within one.
+class PoolBudget
+{
+public:
+    /// Counts the hosts of `pool`. A host that serves but isn't seen fit counts as unavailable.
+    PoolBudget(const FleetState &state, PoolId pool, const Observations &seen);
+
+    /// Returns why `host` may not be taken out now, or nothing when it may.
+    std::optional<std::string> refusal(HostId host) const;
+    /// Counts `host` as taken out.
+    void admit(HostId host);
+
+    int available() const { return m_available; }
+    int unavailable() const { return m_unavailable; }
+
+private:
+    bool isAvailable(const HostRecord &record) const;
+    RackId rackOf(HostId host) const;
+
+    const FleetState &m_state;
+    const Observations &m_seen;
+    PoolRule m_rule;
+    int m_available = 0;
+    int m_unavailable = 0;
+    std::set<RackId> m_disruptedRacks;
+};
+
+} // namespace oleanderhall
--- /dev/null
+++ b/include/oleanderhall/membership/viewlease.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "oleanderhall/core/time.h"
+
+#include <atomic>
+
+namespace oleanderhall {
+
+/// A ViewLease says whether an entry host's view is recent enough for upstreams of other zones. It
+/// is renewed with the time at which a successful read of the log's head was started, so that a
+/// slow answer or a pause never makes a view look newer than it is. It may be used by any thread.
+class ViewLease
+{
+public:
+    explicit ViewLease(Millis length) : m_length(length) {}
+
+    /// Records that the view was current at `readStarted` or later. An older time changes nothing.
+    void renew(Instant readStarted)
+    {
+        Instant known = m_renewed.load();
+        while (known < readStarted && !m_renewed.compare_exchange_weak(known, readStarted)) { }
+    }
+    bool isFresh(Instant now) const { return age(now) < m_length; }
+    /// Returns how old the view may be at most.
+    Millis age(Instant now) const
+    {
+        return std::chrono::duration_cast<Millis>(now - m_renewed.load());
+    }
+
+private:
+    Millis m_length;
+    std::atomic<Instant> m_renewed {Instant {}};
+};
+
+} // namespace oleanderhall
--- /dev/null
+++ b/include/oleanderhall/routing/claimledger.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include "oleanderhall/core/errors.h"
+#include "oleanderhall/platform/table.h"
+#include "oleanderhall/routing/claimrecord.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace oleanderhall {
+
+/// A ClaimRequest asks for the right to send one unrepeatable request. No two requests of a batch
+/// may have the same key.
+struct ClaimRequest
+{
+    TableKey key;
+    std::string bodyHash;
+    std::string token; ///< Unique to this attempt.
+};
+
+/// A ClaimHandle is the right to send one request, held by one attempt.
+struct ClaimHandle
+{
+    TableKey key;
+    std::uint64_t version = 0;
+    ClaimRecord record;
+};
+
+/// What became of a ClaimRequest.
+using ClaimOutcome = std::variant<ClaimHandle, ReplayAnswer, Refusal>;
+
+/// A ClaimLedger keeps claims in the platform's table, so that a request with a key runs at most
+/// once whichever entry hosts it reaches. A handle is given out only for a row that is known to
+/// hold its token; when that can't be known, the request is refused as not run. Calls block on the
+/// table. It has no state of its own and may be used by any thread.
+template <Table TableType>
+class ClaimLedger
+{
+public:
+    explicit ClaimLedger(TableType &table) : m_table(table) {}
+
+    /// Claims for a batch of requests; the outcomes stand in their order.
+    std::vector<ClaimOutcome> claim(const std::vector<ClaimRequest> &requests)
+    {
+        std::vector<ClaimOutcome> outcomes(requests.size(), unavailable());
+        std::vector<std::size_t> open;
+        for (std::size_t index = 0; index < requests.size(); ++index)
+            open.push_back(index);
+        while (!open.empty()) {
+            const std::vector<std::size_t> taken = tryInsert(requests, open, outcomes);
+            for (const std::size_t index : taken)
+                outcomes[index] = settleTaken(requests[index]);
+            std::erase_if(open, [&taken](std::size_t index) {
+                return std::find(taken.begin(), taken.end(), index) != taken.end();
+            });
+            if (taken.empty())
+                break;
+        }
+        return outcomes;
+    }
+
+    /// Records how the request of `handle` ended. Returns false when it should be tried again.
+    bool settle(const ClaimHandle &handle, const ClaimRecord &record)
+    {
+        try {
+            m_table.transact({putOf(handle.key, record, handle.version)},
+                             record.token + "-" + std::to_string(handle.version + 1));
+            return true;
+        } catch (const ConditionFailed &) {
+            return true; // An earlier try had its effect.
+        } catch (const PlatformUnavailable &) {
+            return false;
+        } catch (const OutcomeUnknown &) {
+            return false;
+        }
+    }
+
+    /// Releases the claim of a request that was refused while its claim might still land. Returns
+    /// true when the row is known to hold no open claim of this request.
+    bool releaseIfHeld(const ClaimRequest &request)
+    {
+        try {
+            const auto item = m_table.read(request.key);
+            if (!item)
+                return false; // The claim may still land.
+            ClaimRecord record = parseClaim(item->data);
+            if (record.token != request.token || record.state != ClaimState::Claimed)
+                return true;
+            record.state = ClaimState::Released;
+            return settle({request.key, item->version, record}, record);
+        } catch (const PlatformUnavailable &) {
+            return false;
+        }
+    }
+
+private:
+    static Refusal unavailable()
+    {
+        return {RefusalReason::ClaimsUnavailable, Ran::No, Millis(1000)};
+    }
+
+    static ClaimRecord recordFor(const ClaimRequest &request)
+    {
+        return {.token = request.token, .bodyHash = request.bodyHash};
+    }
+
+    static TableWrite putOf(const TableKey &key, const ClaimRecord &record, std::uint64_t expected)
+    {
+        return {.key = key,
+                .expected = expected,
+                .version = expected + 1,
+                .data = encodeClaim(record)};
+    }
+
+    /// Inserts a row for each open request. Returns those whose row exists already; the others got
+    /// their outcome, unless some row existed: then none was inserted.
+    std::vector<std::size_t> tryInsert(const std::vector<ClaimRequest> &requests,
+                                       const std::vector<std::size_t> &open,
+                                       std::vector<ClaimOutcome> &outcomes)
+    {
+        std::vector<TableWrite> writes;
+        for (const std::size_t index : open) {
+            writes.push_back(
+                putOf(requests[index].key, recordFor(requests[index]), TableWrite::kAbsent));
+        }
+        try {
+            // The table wants another token for each set of writes.
+            m_table.transact(writes, requests[open.front()].token + "-" + std::to_string(open.size()));
+            for (const std::size_t index : open)
+                outcomes[index] = ClaimHandle {requests[index].key, 1, recordFor(requests[index])};
+        } catch (const ConditionFailed &error) {
+            std::vector<std::size_t> taken;
+            for (const std::size_t write : error.failedWrites())
+                taken.push_back(open.at(write));
+            return taken;
+        } catch (const PlatformUnavailable &) {
+            // Refused as they stand in `outcomes`.
+        } catch (const OutcomeUnknown &) {
+            for (const std::size_t index : open)
+                outcomes[index] = readBack(requests[index]);
+        }
+        return {};
+    }
+
+    /// Decides on a request whose row exists already.
+    ClaimOutcome settleTaken(const ClaimRequest &request)
+    {
+        try {
+            const auto item = m_table.read(request.key);
+            std::optional<ClaimRecord> existing;
+            if (item)
+                existing = parseClaim(item->data);
+            if (existing && isHeldBy(*existing, request))
+                return ClaimHandle {request.key, item->version, *existing};
+            const ClaimVerdict verdict = judgeClaim(existing, request.bodyHash);
+            if (const auto *refusal = std::get_if<Refusal>(&verdict))
+                return *refusal;
+            if (const auto *replay = std::get_if<ReplayAnswer>(&verdict))
+                return *replay;
+            return replace(request, item ? item->version : TableWrite::kAbsent);
+        } catch (const PlatformUnavailable &) {
+            return unavailable();
+        }
+    }
+
+    ClaimOutcome replace(const ClaimRequest &request, std::uint64_t version)
+    {
+        try {
+            m_table.transact({putOf(request.key, recordFor(request), version)},
+                             request.token + "-again");
+            return ClaimHandle {request.key, version + 1, recordFor(request)};
+        } catch (const ConditionFailed &) {
+            return Refusal {RefusalReason::DuplicateInProgress, Ran::Unknown, Millis(1000)};
+        } catch (const OutcomeUnknown &) {
+            return readBack(request);
+        }
+    }
+
+    ClaimOutcome readBack(const ClaimRequest &request)
+    {
+        try {
+            const auto item = m_table.read(request.key);
+            if (!item)
+                return unavailable();
+            const ClaimRecord record = parseClaim(item->data);
+            if (isHeldBy(record, request))
+                return ClaimHandle {request.key, item->version, record};
+        } catch (const PlatformUnavailable &) {
+            // Refused below: whether the claim was taken can't be known now.
+        }
+        return unavailable();
+    }
+
+    static bool isHeldBy(const ClaimRecord &record, const ClaimRequest &request)
+    {
+        return record.token == request.token && record.state == ClaimState::Claimed;
+    }
+
+    TableType &m_table;
+};
+
+} // namespace oleanderhall
--- /dev/null
+++ b/include/oleanderhall/routing/endpoint.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "oleanderhall/core/ids.h"
+
+#include <cstdint>
+#include <string>
+
+namespace oleanderhall {
+
+/// An Endpoint is one upstream: a service instance in one life of its host.
+struct Endpoint
+{
+    HostId host;
+    ZoneId zone;
+    Epoch epoch;
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const Endpoint &, const Endpoint &) = default;
+};
+
+} // namespace oleanderhall
--- /dev/null
+++ b/include/oleanderhall/routing/ran.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string_view>
+
+namespace oleanderhall {
+
+/// Whether a request that got no answer of its own was run. It is No only when that is certain.
+enum class Ran { No, Yes, Unknown };
+
+/// Returns the value as callers read it in a refusal: "no", "yes" or "unknown".
+std::string_view nameOf(Ran ran);
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/daemon/entryhost.cpp
@@ -0,0 +1,210 @@
+#include <utility>
+
+#include "entryhost.h"
+
+#include "controller.h"
+#include "log.h"
+#include "metrics.h"
+#include "operatorapi.h"
+#include "operatorserver.h"
+
+#include "../http/callerserver.h"
+#include "../http/claimservice.h"
+#include "../http/dispatcher.h"
+#include "../http/routetable.h"
+#include "../http/upstreamclient.h"
+#include "../peer/peerserver.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <pplx/threadpool.h>
+
+#include <malloc.h>
+
+#include <csignal>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace oleanderhall {
+
+namespace {
+
+constexpr int kPlatformThreads = 8; // of the HTTP client and the operators' server
+constexpr int kMallocArenas = 2;
+constexpr Millis kHousekeeping {500};
+constexpr int kFirstShareOfConnections = 4;
+constexpr int kStoppedHard = 1;
+
+/// Blocks the stop signals in this thread and all that it starts later.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+/// Waits for a stop signal at most `wait`; returns whether one came.
+bool waitForStop(const sigset_t &signals, Millis wait)
+{
+    constexpr long kNanosPerMilli = 1000000;
+    constexpr long kMillisPerSecond = 1000;
+    const timespec limit {.tv_sec = wait.count() / kMillisPerSecond,
+                          .tv_nsec = (wait.count() % kMillisPerSecond) * kNanosPerMilli};
+    return sigtimedwait(&signals, nullptr, &limit) > 0;
+}
+
+CallerLimits limitsFrom(const Settings &settings)
+{
+    CallerLimits limits;
+    limits.headerBytes = static_cast<std::size_t>(settings.maxHeaderBytes);
+    limits.bodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+    limits.connections = settings.maxConnections;
+    return limits;
+}
+
+RouterSettings routerSettingsFrom(const Settings &settings)
+{
+    return {.zone = settings.zone,
+            .entryHosts = 1,
+            .maxWaiting = static_cast<std::size_t>(settings.maxWaiting),
+            .seed = std::random_device {}()};
+}
+
+class EntryHost
+{
+public:
+    explicit EntryHost(const Settings &settings)
+        : m_settings(settings),
+          m_work(boost::asio::make_work_guard(m_io)),
+          m_table(settings.tableUrl, settings.platformTimeout),
+          m_routes(routerSettingsFrom(settings)),
+          m_lease(settings.viewLease),
+          m_upstreams(m_io, {}),
+          m_claims(m_table),
+          m_dispatcher({.routes = m_routes,
+                        .upstreams = m_upstreams,
+                        .claims = m_claims,
+                        .view = m_lease,
+                        .metrics = m_metrics,
+                        .retryPercent = settings.retryPercent}),
+          m_controller(settings, m_table, m_routes, m_lease, m_metrics),
+          m_api(settings, m_controller, m_metrics),
+          m_callers(std::make_shared<CallerServer>(m_io, limitsFrom(settings), m_dispatcher,
+                                                   m_routes, m_metrics,
+                                                   [this] { return isReady(); }))
+    {
+        for (int index = 0; index < settings.threads; ++index)
+            m_threads.emplace_back([this] { m_io.run(); });
+    }
+
+    ~EntryHost()
+    {
+        m_io.stop();
+        for (std::thread &thread : m_threads)
+            thread.join();
+    }
+    EntryHost(const EntryHost &) = delete;
+    EntryHost &operator=(const EntryHost &) = delete;
+
+    int run(const sigset_t &signals)
+    {
+        m_peers.emplace(m_settings.peers.text(), peerSource());
+        m_operators.emplace(m_settings.operators, m_api, m_metrics, [this] { return isReady(); });
+        m_callers->start(m_settings.callers.address, m_settings.callers.port);
+        m_controller.start();
+        logInfo("started", {{"zone", m_settings.zone.name()},
+                            {"callers", m_settings.callers.text()},
+                            {"operators", m_settings.operators.text()},
+                            {"peers", m_settings.peers.text()}});
+        while (!waitForStop(signals, kHousekeeping))
+            keepHouse();
+        return stop(signals);
+    }
+
+private:
+    bool isReady() const { return m_controller.hasView() && !m_isStopping; }
+
+    void keepHouse()
+    {
+        m_upstreams.closeIdle(std::chrono::steady_clock::now());
+        const auto [inFlight, waiting] = m_routes.load();
+        m_metrics.gauge("ready_instances", m_routes.upstreamCount());
+        m_metrics.gauge("requests_in_flight", inFlight);
+        m_metrics.gauge("requests_waiting", waiting);
+        m_metrics.gauge("caller_connections", m_callers->connections());
+        m_upstreams.setConnectionShare(kFirstShareOfConnections + inFlight);
+    }
+
+    /// Not ready first, then no new connections, then what is in flight, then control, then the end.
+    int stop(const sigset_t &signals)
+    {
+        logInfo("stopping");
+        m_isStopping = true;
+        m_controller.leave();
+        m_callers->drain();
+        if (waitForStop(signals, m_settings.stopNotice))
+            return stopHard();
+        m_callers->stop();
+        const Instant latest = std::chrono::steady_clock::now() + m_settings.stopLimit;
+        while (m_callers->busy() > 0 && std::chrono::steady_clock::now() < latest) {
+            if (waitForStop(signals, Millis(20)))
+                return stopHard();
+        }
+        m_controller.stop();
+        logInfo("stopped", {{"cutOff", std::to_string(m_callers->busy())}});
+        return m_callers->busy() == 0 ? 0 : kStoppedHard;
+    }
+
+    int stopHard()
+    {
+        logWarning("stopped_by_second_signal",
+                   {{"cutOff", std::to_string(m_callers->busy())}});
+        return kStoppedHard;
+    }
+
+    PeerSource peerSource()
+    {
+        return {.withState = [this](const auto &visit) { m_controller.withState(visit); },
+                .entriesAfter =
+                    [this](Sequence after, std::size_t limit, std::vector<std::string> &out) {
+                        return m_controller.entriesAfter(after, limit, out);
+                    },
+                .viewAge = [this] { return m_controller.viewAge(); }};
+    }
+
+    const Settings &m_settings;
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    Metrics m_metrics;
+    DynamoTable m_table;
+    RouteTable m_routes;
+    ViewLease m_lease;
+    UpstreamClient m_upstreams;
+    ClaimService m_claims;
+    Dispatcher m_dispatcher;
+    Controller m_controller;
+    OperatorApi m_api;
+    std::shared_ptr<CallerServer> m_callers;
+    std::optional<PeerServer> m_peers;
+    std::optional<OperatorServer> m_operators;
+    std::atomic<bool> m_isStopping {false};
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace
+
+int runEntryHost(const Settings &settings)
+{
+    mallopt(M_ARENA_MAX, kMallocArenas);
+    const sigset_t signals = blockStopSignals();
+    std::signal(SIGPIPE, SIG_IGN);
+    crossplat::threadpool::initialize_with_threads(kPlatformThreads);
+    startLog(settings.id.name());
+    EntryHost host(settings);
+    return host.run(signals);
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/daemon/metrics.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "oleanderhall/core/time.h"
+#include "oleanderhall/routing/refusalreason.h"
+#include "oleanderhall/routing/retryreason.h"
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace oleanderhall {
+
+/// Internal: the daemon's counters and histograms, rendered in the Prometheus text format. Every
+/// refusal and retry reason has a counter from the start. Its mutex is the last in the lock order.
+class Metrics
+{
+public:
+    Metrics();
+
+    void countRefusal(RefusalReason reason) { ++m_refusals[static_cast<std::size_t>(reason)]; }
+    void countRetry(RetryReason reason) { ++m_retries[static_cast<std::size_t>(reason)]; }
+    void countFirstTry() { ++m_firstTries; }
+    void countAnswer(int status, Millis took);
+    /// Adds `amount` to the counter `name`, which should end in `_total`.
+    void count(const std::string &name, std::uint64_t amount = 1);
+    /// Sets the gauge `name`.
+    void gauge(const std::string &name, double value);
+    std::string text() const;
+
+private:
+    using LatencyHistogram = decltype(boost::histogram::make_histogram(
+        boost::histogram::axis::variable<double>()));
+
+    std::array<std::atomic<std::uint64_t>, kRefusalReasonCount> m_refusals {};
+    std::array<std::atomic<std::uint64_t>, kRetryReasonCount> m_retries {};
+    std::atomic<std::uint64_t> m_firstTries {0};
+    mutable std::mutex m_mutex;
+    LatencyHistogram m_latency;
+    double m_latencySum = 0;
+    std::map<int, std::uint64_t> m_answers;
+    std::map<std::string, std::uint64_t> m_counters;
+    std::map<std::string, double> m_gauges;
+};
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/daemon/operatorapi.cpp
@@ -0,0 +1,409 @@
+#include "operatorapi.h"
+
+#include "controller.h"
+#include "log.h"
+#include "metrics.h"
+
+#include "oleanderhall/core/errors.h"
+#include "oleanderhall/core/jsoncursor.h"
+#include "oleanderhall/register/registerparser.h"
+
+namespace oleanderhall {
+
+using web::json::value;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kInvalid = 422;
+constexpr int kUnavailable = 503;
+constexpr std::int64_t kLargest = std::numeric_limits<std::int64_t>::max();
+
+/// Thrown when another operator's change came first.
+class StaleBase : public std::runtime_error
+{
+public:
+    StaleBase(ConfigVersion current, RegisterPatch difference)
+        : std::runtime_error("the configuration has changed since the base version"),
+          m_current(current),
+          m_difference(std::move(difference))
+    {
+    }
+    ConfigVersion current() const { return m_current; }
+    const RegisterPatch &difference() const { return m_difference; }
+
+private:
+    ConfigVersion m_current;
+    RegisterPatch m_difference;
+};
+
+OperatorAnswer problem(int status, const std::string &message, bool mayHaveChanged = false)
+{
+    OperatorAnswer answer {.status = status};
+    answer.body["error"] = value::string(message);
+    answer.body["changed"] = value::string(mayHaveChanged ? "unknown" : "no");
+    return answer;
+}
+
+OperatorAnswer findingsAnswer(const FindingList &findings)
+{
+    OperatorAnswer answer = problem(kInvalid, "the document has faults; nothing was changed");
+    value list = value::array(findings.items().size());
+    for (std::size_t index = 0; index < findings.items().size(); ++index) {
+        const Finding &finding = findings.items()[index];
+        list[index]["file"] = value::string(finding.file);
+        list[index]["place"] = value::string(finding.place);
+        list[index]["problem"] = value::string(finding.problem);
+        list[index]["expected"] = value::string(finding.expected);
+    }
+    answer.body["findings"] = list;
+    return answer;
+}
+
+template <typename Visit>
+void parseBody(const std::string &text, const Visit &visit)
+{
+    FindingList findings;
+    const value json = parseJson(text, "request");
+    visit(JsonCursor(json, "request", "", findings));
+    if (!findings.empty())
+        throw InvalidDocument(std::move(findings));
+}
+
+[[noreturn]] void throwFinding(const std::string &place, const std::string &problem,
+                               const std::string &expected)
+{
+    FindingList findings;
+    findings.add({"request", place, problem, expected});
+    throw InvalidDocument(std::move(findings));
+}
+
+std::map<std::string, int> countStates(const FleetState &state, PoolId pool)
+{
+    std::map<std::string, int> counts;
+    for (const HostId host : state.hostsOf(pool))
+        ++counts[std::string(nameOf(state.record(host)->state))];
+    return counts;
+}
+
+value poolToJson(const FleetState &state, const PoolRule &rule)
+{
+    value pool = value::object();
+    pool["id"] = value::string(rule.id.name());
+    pool["minAvailable"] = value::number(rule.minAvailable);
+    pool["maxUnavailable"] = value::number(rule.maxUnavailable);
+    pool["hosts"] = value::number(static_cast<int>(state.hostsOf(rule.id).size()));
+    for (const auto &[name, count] : countStates(state, rule.id))
+        pool["states"][name] = value::number(count);
+    if (const WaveRecord *wave = state.waveOf(rule.id))
+        pool["wave"] = toJson(*wave);
+    return pool;
+}
+
+/// Returns the entry that accepts `candidate` on top of `state`, or nothing when it is in force.
+std::optional<LogEntry> acceptance(const FleetState &state, const Register &candidate,
+                                   const std::string &reason)
+{
+    FindingList findings;
+    checkTransition(state.config(), candidate, findings);
+    if (!findings.empty())
+        throw InvalidDocument(std::move(findings));
+    RegisterPatch patch = difference(state.config(), candidate);
+    if (patch.empty())
+        return std::nullopt;
+    LogEntry entry;
+    entry.reason = reason;
+    entry.changes.push_back(ConfigChange {state.configVersion().next(), std::move(patch)});
+    return entry;
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(const Settings &settings, Controller &controller, Metrics &metrics)
+    : m_settings(settings), m_controller(controller), m_metrics(metrics)
+{
+}
+
+OperatorAnswer OperatorApi::handle(const OperatorCall &call)
+{
+    try {
+        return route(call);
+    } catch (const InvalidDocument &error) {
+        return findingsAnswer(error.findings());
+    } catch (const StaleBase &error) {
+        OperatorAnswer answer = problem(kConflict, error.what());
+        answer.body["version"] = value::number(error.current().value);
+        answer.body["difference"] = toJson(error.difference());
+        return answer;
+    } catch (const OutcomeUnknown &error) {
+        return problem(kUnavailable, error.what(), true);
+    } catch (const std::exception &error) {
+        return problem(kUnavailable, error.what());
+    }
+}
+
+OperatorAnswer OperatorApi::route(const OperatorCall &call)
+{
+    const std::string first = call.path.empty() ? "" : call.path[0];
+    const bool isGet = call.method == "GET";
+    if (isGet && first == "status")
+        return status();
+    if (isGet && first == "config")
+        return config();
+    if (isGet && first == "plan")
+        return plan();
+    if (isGet && first == "explain" && call.path.size() == 3)
+        return explain(call.path[1], call.path[2]);
+    if (call.method == "POST" && first == "config")
+        return apply(call);
+    if (call.method == "POST" && first == "moves")
+        return move(call);
+    if (call.method == "POST" && first == "waves")
+        return changeWave(call);
+    return problem(kNotFound, "no such call: " + call.method + " " + first);
+}
+
+OperatorAnswer OperatorApi::status()
+{
+    OperatorAnswer answer;
+    answer.body["entry"] = value::string(m_settings.id.name());
+    answer.body["viewAgeMs"] =
+        value::number(static_cast<std::int64_t>(m_controller.viewAge().count()));
+    value members = value::array();
+    value missing = value::array();
+    ConfigVersion version;
+    m_controller.withState([&](const FleetState &state) {
+        version = state.configVersion();
+        answer.body["sequence"] = value::number(state.sequence().value);
+        answer.body["version"] = value::number(version.value);
+        value pools = value::array();
+        std::size_t count = 0;
+        for (const auto &[id, rule] : state.config().pools)
+            pools[count++] = poolToJson(state, rule);
+        answer.body["pools"] = pools;
+    });
+    std::size_t count = 0;
+    std::size_t missingCount = 0;
+    for (const MemberRow &member : m_controller.members()) {
+        value row = value::object();
+        row["id"] = value::string(member.id.name());
+        row["zone"] = value::string(member.zone.name());
+        row["version"] = value::number(member.config.value);
+        row["acknowledged"] = value::number(member.acknowledged.value);
+        row["leaving"] = value::boolean(member.leaving);
+        members[count++] = row;
+        if (member.config < version)
+            missing[missingCount++] = value::string(member.id.name());
+    }
+    answer.body["entryHosts"] = members;
+    answer.body["notYetAdopted"] = missing;
+    return answer;
+}
+
+OperatorAnswer OperatorApi::config()
+{
+    OperatorAnswer answer;
+    m_controller.withState([&answer](const FleetState &state) {
+        answer.body["version"] = value::number(state.configVersion().value);
+        answer.body["config"] = toJson(state.config());
+    });
+    return answer;
+}
+
+OperatorAnswer OperatorApi::apply(const OperatorCall &call)
+{
+    ConfigVersion base;
+    Register candidate;
+    std::string reason;
+    parseBody(call.body, [&](const JsonCursor &cursor) {
+        cursor.allowOnly({"base", "register", "rules", "reason"});
+        base = {static_cast<std::uint64_t>(cursor.number("base", 0, kLargest))};
+        reason = cursor.textOr("reason", "applied by an operator");
+        if (!cursor.value().has_field("register") || !cursor.value().has_field("rules"))
+            throwFinding("", "lacks a document", "register and rules");
+        candidate = parseRegister({"register", cursor.value().at("register").serialize()},
+                                  {"rules", cursor.value().at("rules").serialize()});
+    });
+    OperatorAnswer answer;
+    const auto propose = [&](const FleetState &state) -> std::optional<LogEntry> {
+        std::optional<LogEntry> entry = acceptance(state, candidate, reason);
+        if (entry && state.configVersion() != base)
+            throw StaleBase(state.configVersion(), difference(state.config(), candidate));
+        answer.body["difference"] = toJson(difference(state.config(), candidate));
+        return entry;
+    };
+    if (call.isDryRun) {
+        m_controller.withState([&propose](const FleetState &state) { propose(state); });
+        answer.body["changed"] = value::string("no");
+        return answer;
+    }
+    const std::optional<Sequence> sequence = m_controller.commit(propose);
+    answer.body["changed"] = value::string(sequence ? "yes" : "no");
+    m_controller.withState([&answer](const FleetState &state) {
+        answer.body["version"] = value::number(state.configVersion().value);
+    });
+    return answer;
+}
+
+OperatorAnswer OperatorApi::move(const OperatorCall &call)
+{
+    std::string hostName;
+    std::string poolName;
+    std::string reason;
+    parseBody(call.body, [&](const JsonCursor &cursor) {
+        cursor.allowOnly({"host", "pool", "reason"});
+        hostName = cursor.text("host");
+        poolName = cursor.text("pool");
+        reason = cursor.textOr("reason", "moved by an operator");
+    });
+    const auto propose = [&](const FleetState &state) -> std::optional<LogEntry> {
+        Register candidate = state.config();
+        const auto host = candidate.hosts.find(HostId(hostName));
+        if (host == candidate.hosts.end())
+            throwFinding("/host", "host '" + hostName + "' is unknown", "a host of the register");
+        host->second.pool = PoolId(poolName);
+        FindingList findings;
+        checkRegister(candidate, "request", findings);
+        if (!findings.empty())
+            throw InvalidDocument(std::move(findings));
+        return acceptance(state, candidate, reason + ": " + hostName + " to " + poolName);
+    };
+    OperatorAnswer answer;
+    if (call.isDryRun) {
+        m_controller.withState([&propose](const FleetState &state) { propose(state); });
+        answer.body["changed"] = value::string("no");
+        return answer;
+    }
+    const std::optional<Sequence> sequence = m_controller.commit(propose);
+    answer.body["changed"] = value::string(sequence ? "yes" : "no");
+    return answer;
+}
+
+OperatorAnswer OperatorApi::changeWave(const OperatorCall &call)
+{
+    std::string poolName;
+    std::string action;
+    std::string reason;
+    parseBody(call.body, [&](const JsonCursor &cursor) {
+        cursor.allowOnly({"pool", "action", "reason"});
+        poolName = cursor.text("pool");
+        action = cursor.text("action");
+        reason = cursor.textOr("reason", "asked for by an operator");
+    });
+    const std::map<std::string, WaveStatus> actions {{"start", WaveStatus::Running},
+                                                     {"resume", WaveStatus::Running},
+                                                     {"pause", WaveStatus::Paused},
+                                                     {"stop", WaveStatus::Stopped}};
+    const auto wanted = actions.find(action);
+    if (wanted == actions.end())
+        throwFinding("/action", "'" + action + "' is unknown", "start, pause, resume or stop");
+    const auto propose = [&](const FleetState &state) -> std::optional<LogEntry> {
+        const PoolId pool(poolName);
+        if (!state.config().pools.contains(pool))
+            throwFinding("/pool", "pool '" + poolName + "' is unknown", "a pool of the rules");
+        const WaveRecord *known = state.waveOf(pool);
+        const bool isOpen = known
+            && (known->status == WaveStatus::Running || known->status == WaveStatus::Paused);
+        if (action == "start" && isOpen)
+            throwFinding("/pool", "a wave is open in pool '" + poolName + "'", "no open wave");
+        const bool mayResume = action == "resume" && known && known->status == WaveStatus::Stopped;
+        if (action != "start" && !isOpen && !mayResume)
+            throwFinding("/pool", "no wave is open in pool '" + poolName + "'", "an open wave");
+        WaveRecord next;
+        if (action != "start")
+            next = *known;
+        else
+            next.id = WaveId(poolName + "-" + std::to_string(state.sequence().next().value));
+        if (action != "start" && next.status == wanted->second)
+            return std::nullopt;
+        next.pool = pool;
+        next.status = wanted->second;
+        next.reason = reason;
+        LogEntry entry;
+        entry.reason = "wave " + next.id.name() + " " + action + ": " + reason;
+        entry.changes.push_back(WaveChange {next});
+        return entry;
+    };
+    OperatorAnswer answer;
+    if (call.isDryRun) {
+        m_controller.withState([&propose](const FleetState &state) { propose(state); });
+        answer.body["changed"] = value::string("no");
+        return answer;
+    }
+    const std::optional<Sequence> sequence = m_controller.commit(propose);
+    answer.body["changed"] = value::string(sequence ? "yes" : "no");
+    return answer;
+}
+
+OperatorAnswer OperatorApi::plan()
+{
+    OperatorAnswer answer;
+    value steps = value::array();
+    std::size_t count = 0;
+    const auto waiting = m_controller.waiting();
+    m_controller.withState([&](const FleetState &state) {
+        for (const auto &[id, record] : state.hosts()) {
+            const HostSpec *spec = state.spec(id);
+            const bool belongs = spec && spec->pool == record.pool;
+            if (belongs && record.state == HostState::Serving && !waiting.contains(id))
+                continue;
+            value step = value::object();
+            step["host"] = value::string(id.name());
+            step["pool"] = value::string(record.pool.name());
+            step["state"] = value::string(std::string(nameOf(record.state)));
+            step["disruption"] = value::string(std::string(nameOf(record.disruption)));
+            if (!belongs)
+                step["target"] = value::string(spec ? spec->pool.name() : "removed");
+            if (waiting.contains(id))
+                step["waiting"] = value::string(waiting.at(id));
+            steps[count++] = step;
+        }
+    });
+    answer.body["steps"] = steps;
+    return answer;
+}
+
+OperatorAnswer OperatorApi::explain(const std::string &kind, const std::string &name)
+{
+    OperatorAnswer answer;
+    bool isKnown = false;
+    m_controller.withState([&](const FleetState &state) {
+        if (kind == "host") {
+            for (const auto &[id, record] : state.hosts()) {
+                if (id.name() != name)
+                    continue;
+                isKnown = true;
+                answer.body["record"] = toJson(record);
+                answer.body["changedAt"] = value::number(record.changedAt.value);
+            }
+        }
+        if (kind == "pool") {
+            for (const auto &[id, rule] : state.config().pools) {
+                if (id.name() != name)
+                    continue;
+                isKnown = true;
+                answer.body["pool"] = poolToJson(state, rule);
+            }
+        }
+    });
+    if (!isKnown)
+        return problem(kNotFound, "no " + kind + " named '" + name + "'");
+    for (const auto &[host, reason] : m_controller.waiting()) {
+        if (host.name() == name)
+            answer.body["waiting"] = value::string(reason);
+    }
+    value decisions = value::array();
+    std::size_t count = 0;
+    for (const std::string &text : m_controller.historyOf(name)) {
+        const value entry = value::parse(text);
+        decisions[count]["sequence"] = entry.at("sequence");
+        decisions[count]["actor"] = entry.at("actor");
+        decisions[count++]["reason"] = entry.at("reason");
+    }
+    answer.body["decisions"] = decisions;
+    return answer;
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/daemon/operatorserver.cpp
@@ -0,0 +1,78 @@
+#include "operatorserver.h"
+
+#include "metrics.h"
+#include "operatorapi.h"
+
+#include <cpprest/http_listener.h>
+
+namespace oleanderhall {
+
+using web::http::http_request;
+using web::http::status_codes;
+
+struct OperatorServer::Listener
+{
+    Listener(const SocketAddress &address, OperatorApi &calls, Metrics &counters,
+             std::function<bool()> readiness)
+        : api(calls),
+          metrics(counters),
+          isReady(std::move(readiness)),
+          listener("http://" + address.text())
+    {
+        listener.support([this](const http_request &request) { handle(request); });
+        listener.open().wait();
+    }
+    ~Listener() { listener.close().wait(); }
+    Listener(const Listener &) = delete;
+    Listener &operator=(const Listener &) = delete;
+
+    void handle(http_request request)
+    {
+        const std::string path = request.relative_uri().path();
+        if (path == "/livez")
+            return reply(request, status_codes::OK, "ok\n");
+        if (path == "/readyz" && isReady())
+            return reply(request, status_codes::OK, "ok\n");
+        if (path == "/readyz")
+            return reply(request, status_codes::ServiceUnavailable, "not ready\n");
+        if (path == "/metrics")
+            return reply(request, status_codes::OK, metrics.text());
+        std::vector<std::string> segments = web::uri::split_path(path);
+        if (segments.empty() || segments.front() != "v1")
+            return reply(request, status_codes::NotFound, "not found\n");
+        segments.erase(segments.begin());
+        request.extract_utf8string(true).then([this, request, segments](
+                                                  const pplx::task<std::string> &body) {
+            OperatorCall call {.method = request.method(), .path = segments};
+            try {
+                call.body = body.get();
+            } catch (const std::exception &) {
+                return; // The operator went away in the middle of the call.
+            }
+            call.isDryRun = request.relative_uri().query() == "dryRun=1";
+            const OperatorAnswer answer = api.handle(call);
+            request.reply(static_cast<web::http::status_code>(answer.status), answer.body);
+        });
+    }
+
+    static void reply(const http_request &request, web::http::status_code status,
+                      const std::string &text)
+    {
+        request.reply(status, text, "text/plain; version=0.0.4");
+    }
+
+    OperatorApi &api;
+    Metrics &metrics;
+    std::function<bool()> isReady;
+    web::http::experimental::listener::http_listener listener;
+};
+
+OperatorServer::OperatorServer(const SocketAddress &address, OperatorApi &api, Metrics &metrics,
+                               std::function<bool()> isReady)
+    : m_listener(std::make_unique<Listener>(address, api, metrics, std::move(isReady)))
+{
+}
+
+OperatorServer::~OperatorServer() = default;
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/fleet/poolbudget.cpp
@@ -0,0 +1,58 @@
+#include "oleanderhall/fleet/poolbudget.h"
+
+namespace oleanderhall {
+
+PoolBudget::PoolBudget(const FleetState &state, PoolId pool, const Observations &seen)
+    : m_state(state), m_seen(seen)
+{
+    const auto rule = state.config().pools.find(pool);
+    if (rule != state.config().pools.end())
+        m_rule = rule->second;
+    for (const HostId host : state.hostsOf(pool)) {
+        const HostRecord &record = *state.record(host);
+        if (isAvailable(record))
+            ++m_available;
+        else
+            ++m_unavailable;
+        if (record.state != HostState::Serving && record.disruption != Disruption::None)
+            m_disruptedRacks.insert(rackOf(host));
+    }
+}
+
+std::optional<std::string> PoolBudget::refusal(HostId host) const
+{
+    const HostRecord *record = m_state.record(host);
+    if (record && !isAvailable(*record))
+        return "the host is not available itself";
+    if (m_available - 1 < m_rule.minAvailable)
+        return "minAvailable " + std::to_string(m_rule.minAvailable) + " is reached with "
+            + std::to_string(m_available) + " available";
+    if (m_unavailable + 1 > m_rule.maxUnavailable)
+        return "maxUnavailable " + std::to_string(m_rule.maxUnavailable) + " is used up";
+    std::set<RackId> racks = m_disruptedRacks;
+    racks.insert(rackOf(host));
+    if (static_cast<int>(racks.size()) > m_rule.maxDisruptedRacks)
+        return "maxDisruptedRacks " + std::to_string(m_rule.maxDisruptedRacks) + " is used up";
+    return std::nullopt;
+}
+
+void PoolBudget::admit(HostId host)
+{
+    --m_available;
+    ++m_unavailable;
+    m_disruptedRacks.insert(rackOf(host));
+}
+
+bool PoolBudget::isAvailable(const HostRecord &record) const
+{
+    return record.state == HostState::Serving && m_seen.of(record).health == Health::Fit;
+}
+
+RackId PoolBudget::rackOf(HostId host) const
+{
+    const HostSpec *spec = m_state.spec(host);
+    // A host that left the register keeps a domain of its own, the strictest reading.
+    return spec ? spec->rack : RackId("host:" + host.name());
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/fleet/poolplanner.cpp
@@ -0,0 +1,34 @@
+#include "oleanderhall/fleet/poolplanner.h"
+
+#include "poolstep.h"
+
+namespace oleanderhall {
+
+PoolPlanner::PoolPlanner(PoolId pool, PlannerSettings settings)
+    : m_pool(pool), m_settings(settings)
+{
+}
+
+PoolPlan PoolPlanner::decide(const FleetState &state, const Observations &seen, Instant now)
+{
+    PoolStep step(state, seen, m_pool, m_settings, m_startFailures);
+    for (const HostId host : state.hostsOf(m_pool)) {
+        const HostRecord &record = *state.record(host);
+        step.progress(record, timeSinceChange(record, now));
+    }
+    step.admitNewHosts();
+    step.placeInstances();
+    step.admitDisruptions();
+    step.advanceWave();
+    return step.takePlan();
+}
+
+Millis PoolPlanner::timeSinceChange(const HostRecord &record, Instant now)
+{
+    Sighting &sighting = m_sightings.try_emplace(record.id, Sighting {record.changedAt, now}).first->second;
+    if (sighting.changedAt != record.changedAt)
+        sighting = {record.changedAt, now};
+    return std::chrono::duration_cast<Millis>(now - sighting.since);
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/fleet/poolstep.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "oleanderhall/fleet/poolbudget.h"
+#include "oleanderhall/fleet/poolplan.h"
+#include "oleanderhall/fleet/poolplanner.h"
+
+#include <map>
+#include <string>
+
+namespace oleanderhall {
+
+/// Internal: one run of PoolPlanner::decide. It collects changes in `m_plan`; each host changes at
+/// most once in a step.
+class PoolStep
+{
+public:
+    PoolStep(const FleetState &state, const Observations &seen, PoolId pool,
+             const PlannerSettings &settings, std::map<HostId, int> &startFailures);
+
+    void progress(const HostRecord &record, Millis sinceChange);
+    void admitNewHosts();
+    void placeInstances();
+    void admitDisruptions();
+    void advanceWave();
+    PoolPlan takePlan() { return std::move(m_plan); }
+
+private:
+    void progressJoining(const HostRecord &record, Millis sinceChange);
+    void progressServing(const HostRecord &record, Millis sinceChange);
+    void progressDraining(const HostRecord &record, Millis sinceChange);
+    void progressStopped(const HostRecord &record);
+    void progressRebooting(const HostRecord &record, Millis sinceChange);
+    void progressFailed(const HostRecord &record, Millis sinceChange);
+
+    void placeService(const ServiceRule &rule);
+    void dropForeignInstances(const HostRecord &record);
+    void admitWaveHosts(const WaveRecord &wave);
+    bool tryDisrupt(const HostRecord &record, Disruption disruption, const std::string &why);
+    bool servicesSettled() const;
+    bool isClear(const HostRecord &record, Millis sinceChange) const;
+    bool isZoneFrozen(HostId host) const;
+    bool hasLostTasks(const HostRecord &record) const;
+    bool isLost(const HostRecord &record) const;
+    bool hasRoom() const;
+    bool isChanged(HostId host) const { return m_changed.contains(host); }
+    PoolId registeredPool(HostId host) const;
+    Epoch newEpoch() const { return {m_state.sequence().next().value}; }
+
+    void change(HostRecord record, const std::string &why);
+    void fail(const HostRecord &record, const std::string &why);
+    void rejoin(const HostRecord &record, PoolId pool, const std::string &why);
+    void command(const HostRecord &record, WorkerCommand::Kind kind,
+                 std::vector<ServiceId> services);
+    void addReason(const std::string &why);
+
+    const FleetState &m_state;
+    const Observations &m_seen;
+    PoolId m_pool;
+    const PlannerSettings &m_settings;
+    std::map<HostId, int> &m_startFailures;
+    PoolBudget m_budget;
+    bool m_distrustsLoss = false; ///< So many hosts seem lost that none is given up on.
+    bool m_distrustsList = false; ///< So many hosts are called leaving that the budget decides.
+    PoolPlan m_plan;
+    std::map<HostId, HostRecord> m_changed;
+};
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/http/callerserver.cpp
@@ -0,0 +1,294 @@
+#include <utility>
+
+#include "callerserver.h"
+
+#include "callparser.h"
+#include "dispatcher.h"
+#include "problem.h"
+#include "routetable.h"
+
+#include "../daemon/metrics.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace oleanderhall {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+using BodyParser = http::request_parser<http::string_body>;
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr Millis kComeBack {1000};
+
+RefusalReason reasonFor(const beast::error_code &failed)
+{
+    if (failed == http::error::header_limit || failed == http::error::buffer_overflow)
+        return RefusalReason::HeaderTooLarge;
+    if (failed == http::error::body_limit)
+        return RefusalReason::BodyTooLarge;
+    if (failed == beast::error::timeout)
+        return RefusalReason::RequestTooSlow;
+    return RefusalReason::BadRequest;
+}
+
+Reply healthReply(bool isHealthy)
+{
+    return {.status = isHealthy ? kOk : kUnavailable,
+            .headers = {{"Content-Type", "text/plain"}},
+            .body = isHealthy ? "ok\n" : "not ready\n"};
+}
+
+} // namespace
+
+struct CallerServer::Session
+{
+    explicit Session(asio::ip::tcp::socket socket, std::size_t headerBytes)
+        : stream(std::move(socket)), buffer(2 * headerBytes)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::unique_ptr<BodyParser> parser;
+    std::atomic<bool> isBusy {false};
+    std::size_t reserved = 0;
+};
+
+CallerServer::CallerServer(asio::io_context &io, CallerLimits limits, Dispatcher &dispatcher,
+                           const RouteTable &routes, Metrics &metrics,
+                           std::function<bool()> isReady)
+    : m_io(io),
+      m_limits(limits),
+      m_dispatcher(dispatcher),
+      m_routes(routes),
+      m_metrics(metrics),
+      m_isReady(std::move(isReady)),
+      m_acceptor(asio::make_strand(io))
+{
+}
+
+void CallerServer::start(const std::string &address, std::uint16_t port)
+{
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address), port);
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen();
+    asio::co_spawn(
+        m_acceptor.get_executor(), [self = shared_from_this()] { return self->acceptLoop(); },
+        asio::detached);
+}
+
+void CallerServer::drain()
+{
+    m_isDraining = true;
+}
+
+void CallerServer::stop()
+{
+    m_isDraining = true;
+    m_isStopping = true;
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+        beast::error_code ignored;
+        self->m_acceptor.close(ignored);
+    });
+    const std::lock_guard lock(m_mutex);
+    for (const SessionPtr &session : m_sessions) {
+        asio::post(session->stream.get_executor(), [session] {
+            if (!session->isBusy)
+                session->stream.close();
+        });
+    }
+}
+
+asio::awaitable<void> CallerServer::acceptLoop()
+{
+    for (;;) {
+        beast::error_code failed;
+        asio::ip::tcp::socket socket(asio::make_strand(m_io));
+        co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failed));
+        if (m_isStopping)
+            co_return;
+        if (failed) {
+            // Out of file descriptors, most likely: others must be closed first.
+            asio::steady_timer timer(m_acceptor.get_executor(), Millis(20));
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+            continue;
+        }
+        if (m_open >= m_limits.connections) {
+            m_metrics.countRefusal(RefusalReason::TooManyConnections);
+            continue;
+        }
+        socket.set_option(asio::ip::tcp::no_delay(true), failed);
+        auto session = std::make_shared<Session>(std::move(socket), m_limits.headerBytes);
+        {
+            const std::lock_guard lock(m_mutex);
+            m_sessions.insert(session);
+        }
+        ++m_open;
+        asio::co_spawn(
+            session->stream.get_executor(),
+            [self = shared_from_this(), session] { return self->serve(session); },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> CallerServer::serve(SessionPtr session)
+{
+    try {
+        while (co_await serveOne(session)) { }
+    } catch (const std::exception &) {
+        m_metrics.count("caller_sessions_failed_total");
+    }
+    if (session->isBusy)
+        --m_busy;
+    m_buffered -= session->reserved;
+    session->stream.close();
+    const std::lock_guard lock(m_mutex);
+    m_sessions.erase(session);
+    --m_open;
+}
+
+asio::awaitable<bool> CallerServer::serveOne(SessionPtr session)
+{
+    session->parser = std::make_unique<BodyParser>();
+    BodyParser &parser = *session->parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+    parser.body_limit(m_limits.bodyBytes);
+    beast::error_code failed;
+    if (session->buffer.size() == 0) {
+        // Waits for the first byte with nothing held but the buffer.
+        session->stream.expires_after(m_limits.idleTime);
+        const std::size_t received = co_await session->stream.async_read_some(
+            session->buffer.prepare(1024), asio::redirect_error(asio::use_awaitable, failed));
+        if (failed)
+            co_return false;
+        session->buffer.commit(received);
+    }
+    session->isBusy = true;
+    ++m_busy;
+    session->stream.expires_after(m_limits.headerTime);
+    co_await http::async_read_header(session->stream, session->buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, failed));
+    if (failed == http::error::end_of_stream || failed == http::error::partial_message)
+        co_return false;
+    if (failed)
+        co_return co_await refuse(session, {reasonFor(failed), Ran::No, std::nullopt});
+    const Instant headerEnd = std::chrono::steady_clock::now();
+    if (const std::optional<Refusal> refusal = co_await readBody(session, headerEnd))
+        co_return co_await refuse(session, *refusal);
+    HttpRequest request = parser.release();
+    const bool isHead = request.method() == http::verb::head;
+    const unsigned version = request.version();
+    const bool keepAlive = request.keep_alive();
+    const Reply reply = co_await replyTo(request);
+    const bool staysOpen =
+        co_await write(session, reply, version, keepAlive && !m_isDraining, isHead);
+    m_buffered -= std::exchange(session->reserved, 0);
+    session->isBusy = false;
+    --m_busy;
+    co_return staysOpen;
+}
+
+asio::awaitable<std::optional<Refusal>> CallerServer::readBody(SessionPtr session,
+                                                               Instant headerEnd)
+{
+    BodyParser &parser = *session->parser;
+    const auto &header = parser.get();
+    // Two lengths leave open where the request ends, so that it might be read as two.
+    if (header.count(http::field::content_length) > 0
+        && header.count(http::field::transfer_encoding) > 0)
+        co_return Refusal {RefusalReason::BadRequest, Ran::No, std::nullopt};
+    if (parser.is_done())
+        co_return std::nullopt;
+    const std::size_t size = parser.content_length() ? *parser.content_length() : m_limits.bodyBytes;
+    if (size > m_limits.bodyBytes)
+        co_return Refusal {RefusalReason::BodyTooLarge, Ran::No, std::nullopt};
+    if (m_buffered + size > m_limits.bufferedBytes)
+        co_return Refusal {RefusalReason::Overloaded, Ran::No, kComeBack};
+    m_buffered += size;
+    session->reserved = size;
+    beast::error_code failed;
+    if (beast::iequals(header[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> proceed(http::status::continue_, header.version());
+        co_await http::async_write(session->stream, proceed,
+                                   asio::redirect_error(asio::use_awaitable, failed));
+    }
+    session->stream.expires_at(headerEnd + m_limits.bodyTime);
+    co_await http::async_read(session->stream, session->buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, failed));
+    if (failed)
+        co_return Refusal {reasonFor(failed), Ran::No, std::nullopt};
+    co_return std::nullopt;
+}
+
+asio::awaitable<Reply> CallerServer::replyTo(HttpRequest &request)
+{
+    if (request.target() == "/livez")
+        co_return healthReply(true);
+    if (request.target() == "/readyz")
+        co_return healthReply(m_isReady());
+    if (!m_isReady() && !m_isDraining) {
+        m_metrics.countRefusal(RefusalReason::NoView);
+        co_return problemReply({RefusalReason::NoView, Ran::No, kComeBack});
+    }
+    const auto lookup = [this](std::string_view service) { return m_routes.ruleOf(service); };
+    auto parsed = parseCall(request, lookup, std::chrono::steady_clock::now());
+    if (const auto *refusal = std::get_if<Refusal>(&parsed)) {
+        m_metrics.countRefusal(refusal->reason);
+        co_return problemReply(*refusal);
+    }
+    co_return co_await m_dispatcher.dispatch(std::move(std::get<Call>(parsed)));
+}
+
+asio::awaitable<bool> CallerServer::write(SessionPtr session, const Reply &reply, unsigned version,
+                                          bool keepAlive, bool isHead)
+{
+    HttpResponse response(static_cast<http::status>(reply.status), version);
+    for (const auto &[name, value] : reply.headers)
+        response.insert(name, value);
+    response.keep_alive(keepAlive);
+    if (!isHead)
+        response.body() = reply.body;
+    response.content_length(reply.body.size());
+    session->stream.expires_after(m_limits.answerTime);
+    beast::error_code failed;
+    http::response_serializer<http::string_body> serializer(response);
+    if (isHead) {
+        co_await http::async_write_header(session->stream, serializer,
+                                          asio::redirect_error(asio::use_awaitable, failed));
+    } else {
+        co_await http::async_write(session->stream, serializer,
+                                   asio::redirect_error(asio::use_awaitable, failed));
+    }
+    if (failed)
+        m_metrics.count("answers_not_delivered_total");
+    co_return !failed && keepAlive;
+}
+
+asio::awaitable<bool> CallerServer::refuse(SessionPtr session, Refusal refusal)
+{
+    m_metrics.countRefusal(refusal.reason);
+    constexpr unsigned kHttpVersion = 11;
+    co_await write(session, problemReply(refusal), kHttpVersion, false, false);
+    beast::error_code ignored;
+    session->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Reads on for a moment, so that the refusal is not lost in a reset.
+    constexpr int kDrainReads = 16;
+    session->stream.expires_after(kComeBack);
+    for (int count = 0; count < kDrainReads && !ignored; ++count) {
+        std::array<char, 4096> dropped;
+        co_await session->stream.async_read_some(
+            asio::buffer(dropped), asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return false;
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/http/httptypes.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace oleanderhall {
+
+/// Internal: HTTP messages with their bodies in memory.
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/http/routetable.cpp
@@ -0,0 +1,178 @@
+#include <utility>
+
+#include "routetable.h"
+
+#include <boost/asio/this_coro.hpp>
+
+namespace oleanderhall {
+
+namespace {
+
+std::vector<Endpoint> endpointsOf(const FleetState &state, const ServiceRule &rule)
+{
+    std::vector<Endpoint> endpoints;
+    for (const HostId host : state.hostsOf(rule.pool)) {
+        const HostRecord &record = *state.record(host);
+        const HostSpec *spec = state.spec(host);
+        const InstanceRecord *instance = record.instanceOf(rule.id);
+        if (record.state != HostState::Serving || !spec || !instance
+            || instance->state != InstanceState::Ready)
+            continue;
+        endpoints.push_back({host, spec->zone, record.epoch, spec->address, rule.port});
+    }
+    return endpoints;
+}
+
+} // namespace
+
+void RouteTable::refresh(const FleetState &state, const std::set<PoolId> &pools)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    if (pools.empty())
+        removeUnknown(state.config());
+    for (const auto &[id, rule] : state.config().services) {
+        if (!pools.empty() && !pools.contains(rule.pool))
+            continue;
+        const ServicePtr service = findOrAdd(rule);
+        const std::lock_guard lock(service->mutex);
+        service->router.setRule(rule);
+        deliver(*service, service->router.setEndpoints(endpointsOf(state, rule), now));
+    }
+}
+
+void RouteTable::setEntryHosts(int entryHosts)
+{
+    const std::unique_lock lock(m_mutex);
+    m_settings.entryHosts = entryHosts;
+    for (const auto &[name, service] : m_services) {
+        const std::lock_guard serviceLock(service->mutex);
+        service->router.setEntryHosts(entryHosts);
+    }
+}
+
+std::optional<ServiceRule> RouteTable::ruleOf(std::string_view service) const
+{
+    const ServicePtr found = find(service);
+    if (!found)
+        return std::nullopt;
+    const std::lock_guard lock(found->mutex);
+    return found->router.rule();
+}
+
+boost::asio::awaitable<SlotResult> RouteTable::acquire(std::string service, SlotRequest request)
+{
+    const ServicePtr found = find(service);
+    if (!found)
+        co_return Refusal {RefusalReason::UnknownService, Ran::No, std::nullopt};
+    const auto executor = co_await boost::asio::this_coro::executor;
+    std::shared_ptr<OneShot<Endpoint>> waiter;
+    WaiterId id;
+    {
+        const std::lock_guard lock(found->mutex);
+        const Admission admission =
+            found->router.admit(request, std::chrono::steady_clock::now());
+        if (const auto *refusal = std::get_if<Refusal>(&admission))
+            co_return *refusal;
+        if (const auto *grant = std::get_if<SlotGrant>(&admission))
+            co_return grant->endpoint;
+        id = std::get<Waiting>(admission).id;
+        waiter = std::make_shared<OneShot<Endpoint>>(executor);
+        found->waiters.emplace(id, waiter);
+    }
+    const std::optional<Endpoint> granted = co_await waiter->wait(request.deadline);
+    if (granted)
+        co_return *granted;
+    const std::lock_guard lock(found->mutex);
+    found->router.cancel(id);
+    found->waiters.erase(id);
+    co_return Refusal {RefusalReason::QueueTimeout, Ran::No, Millis(1000)};
+}
+
+void RouteTable::release(const std::string &service, const Endpoint &endpoint,
+                         AttemptResult result, Millis took)
+{
+    const ServicePtr found = find(service);
+    if (!found)
+        return;
+    const std::lock_guard lock(found->mutex);
+    const Instant now = std::chrono::steady_clock::now();
+    deliver(*found, found->router.finish(endpoint, result, took, now));
+}
+
+bool RouteTable::isCurrent(const std::string &service, const Endpoint &endpoint) const
+{
+    const ServicePtr found = find(service);
+    if (!found)
+        return false;
+    const std::lock_guard lock(found->mutex);
+    return found->router.holds(endpoint);
+}
+
+std::pair<int, int> RouteTable::load() const
+{
+    const std::shared_lock lock(m_mutex);
+    std::pair<int, int> total;
+    for (const auto &[name, service] : m_services) {
+        const std::lock_guard serviceLock(service->mutex);
+        total.first += service->router.inFlight();
+        total.second += static_cast<int>(service->router.waiting());
+    }
+    return total;
+}
+
+int RouteTable::upstreamCount() const
+{
+    const std::shared_lock lock(m_mutex);
+    std::size_t total = 0;
+    for (const auto &[name, service] : m_services) {
+        const std::lock_guard serviceLock(service->mutex);
+        total += service->router.endpointCount();
+    }
+    return static_cast<int>(total);
+}
+
+RouteTable::ServicePtr RouteTable::find(std::string_view service) const
+{
+    const std::shared_lock lock(m_mutex);
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+RouteTable::ServicePtr RouteTable::findOrAdd(const ServiceRule &rule)
+{
+    const std::unique_lock lock(m_mutex);
+    ServicePtr &service = m_services[rule.id.name()];
+    if (!service)
+        service = std::make_shared<Service>(rule, m_settings);
+    return service;
+}
+
+void RouteTable::removeUnknown(const Register &config)
+{
+    const std::unique_lock lock(m_mutex);
+    std::erase_if(m_services, [&config](const auto &item) {
+        return !config.services.contains(item.second->router.rule().id);
+    });
+}
+
+void RouteTable::deliver(Service &service, const std::vector<SlotGrant> &grants)
+{
+    std::vector<SlotGrant> pending = grants;
+    while (!pending.empty()) {
+        const SlotGrant grant = pending.back();
+        pending.pop_back();
+        const auto waiter = service.waiters.find(grant.waiter);
+        const bool isTaken = waiter != service.waiters.end() && waiter->second->set(grant.endpoint);
+        if (waiter != service.waiters.end())
+            service.waiters.erase(waiter);
+        if (isTaken)
+            continue;
+        // The waiter gave up in the meantime, so its slot goes to the next one.
+        const Instant now = std::chrono::steady_clock::now();
+        const auto more =
+            service.router.finish(grant.endpoint, AttemptResult::NotTried, Millis(0), now);
+        pending.insert(pending.end(), more.begin(), more.end());
+    }
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/platform/httpobjectstore.cpp
@@ -0,0 +1,32 @@
+#include "oleanderhall/platform/httpobjectstore.h"
+
+#include "httpcall.h"
+
+#include "oleanderhall/core/errors.h"
+
+namespace oleanderhall {
+
+HttpObjectStore::HttpObjectStore(std::string address, Millis timeout)
+    : m_address(std::move(address)), m_timeout(timeout)
+{
+}
+
+void HttpObjectStore::put(const std::string &key, const std::string &data)
+{
+    fetchFromPlatform({.method = "PUT",
+                       .url = m_address + "/" + key,
+                       .headers = {},
+                       .body = data,
+                       .timeout = m_timeout});
+}
+
+std::string HttpObjectStore::fetch(const std::string &key)
+{
+    return fetchFromPlatform({.method = "GET",
+                              .url = m_address + "/" + key,
+                              .headers = {},
+                              .body = std::nullopt,
+                              .timeout = m_timeout});
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/routing/retrybudget.cpp
@@ -0,0 +1,35 @@
+#include "oleanderhall/routing/retrybudget.h"
+
+namespace oleanderhall {
+
+namespace {
+
+constexpr std::uint64_t kPercent = 100;
+
+} // namespace
+
+void RetryBudget::countFirstTry(Instant now)
+{
+    startMinute(now);
+    ++m_firstTries;
+}
+
+bool RetryBudget::tryRetry(Instant now)
+{
+    startMinute(now);
+    if ((m_retries + 1) * kPercent > m_firstTries * static_cast<std::uint64_t>(m_percent))
+        return false;
+    ++m_retries;
+    return true;
+}
+
+void RetryBudget::startMinute(Instant now)
+{
+    if (now - m_minuteStart < std::chrono::minutes(1))
+        return;
+    m_minuteStart = now;
+    m_firstTries = 0;
+    m_retries = 0;
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/src/routing/servicerouter.cpp
@@ -0,0 +1,231 @@
+#include "oleanderhall/routing/servicerouter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleanderhall {
+
+namespace {
+
+constexpr double kLatencyWeight = 0.1;      // of a new sample in the moving average
+constexpr double kInitialLatencyMs = 10;    // until the first answer
+constexpr double kFailurePenaltyMs = 1000;  // so that failing fast never looks attractive
+constexpr int kFailuresUntilEjection = 3;
+constexpr int kMaxEjectionDoublings = 5;
+constexpr Millis kFirstEjection {500};
+constexpr Millis kShortestRetryAfter {1000};
+
+bool contains(const std::vector<HostId> &hosts, HostId host)
+{
+    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
+} // namespace
+
+ServiceRouter::ServiceRouter(const ServiceRule &rule, const RouterSettings &settings)
+    : m_rule(rule), m_settings(settings), m_random(settings.seed)
+{
+}
+
+std::vector<SlotGrant> ServiceRouter::setEndpoints(const std::vector<Endpoint> &endpoints,
+                                                   Instant now)
+{
+    std::map<HostId, Upstream> next;
+    for (const Endpoint &endpoint : endpoints) {
+        const auto known = m_upstreams.find(endpoint.host);
+        if (known != m_upstreams.end() && known->second.endpoint == endpoint) {
+            next.emplace(endpoint.host, known->second);
+            continue;
+        }
+        Upstream fresh {.endpoint = endpoint,
+                        .window = SlotWindow(m_rule.slots, m_settings.entryHosts)};
+        fresh.latencyMs = m_upstreams.empty() ? kInitialLatencyMs : expectedLatencyMs();
+        next.emplace(endpoint.host, fresh);
+    }
+    m_upstreams = std::move(next);
+    return grantWaiters(now);
+}
+
+void ServiceRouter::setEntryHosts(int entryHosts)
+{
+    m_settings.entryHosts = entryHosts;
+    for (auto &[host, upstream] : m_upstreams)
+        upstream.window.setEntryHosts(entryHosts);
+}
+
+void ServiceRouter::setRule(const ServiceRule &rule)
+{
+    const bool slotsChanged = rule.slots != m_rule.slots;
+    m_rule = rule;
+    if (!slotsChanged)
+        return;
+    for (auto &[host, upstream] : m_upstreams)
+        upstream.window = SlotWindow(rule.slots, m_settings.entryHosts);
+}
+
+Admission ServiceRouter::admit(const SlotRequest &request, Instant now)
+{
+    if (!hasReachableUpstream(request))
+        return Refusal {RefusalReason::NoUpstream, Ran::No, kShortestRetryAfter};
+    if (m_waiting.empty()) {
+        if (Upstream *upstream = choose(request, now)) {
+            ++upstream->inFlight;
+            return SlotGrant {upstream->endpoint, {}};
+        }
+    }
+    const Millis wait = expectedWait(request);
+    const Millis retryAfter = std::max(wait, kShortestRetryAfter);
+    if (m_waiting.size() >= m_settings.maxWaiting)
+        return Refusal {RefusalReason::Overloaded, Ran::No, retryAfter};
+    const Millis service(static_cast<Millis::rep>(std::ceil(expectedLatencyMs())));
+    if (now + wait + service > request.deadline)
+        return Refusal {RefusalReason::TimeoutTooShort, Ran::No, retryAfter};
+    m_lastWaiter = m_lastWaiter.next();
+    m_waiting.emplace(request.deadline, Waiter {m_lastWaiter, request});
+    return Waiting {m_lastWaiter};
+}
+
+std::vector<SlotGrant> ServiceRouter::finish(const Endpoint &endpoint, AttemptResult result,
+                                             Millis took, Instant now)
+{
+    const auto found = m_upstreams.find(endpoint.host);
+    if (found == m_upstreams.end() || !(found->second.endpoint == endpoint))
+        return grantWaiters(now);
+    Upstream &upstream = found->second;
+    if (result == AttemptResult::Answered) {
+        upstream.window.answered(upstream.inFlight, now);
+        upstream.latencyMs += kLatencyWeight * (static_cast<double>(took.count()) - upstream.latencyMs);
+        upstream.failuresInRow = 0;
+        upstream.ejectedUntil = {};
+    } else if (result == AttemptResult::Refused) {
+        upstream.window.refused(now);
+    } else if (result != AttemptResult::NotTried) {
+        recordFailure(upstream, now);
+    }
+    --upstream.inFlight;
+    return grantWaiters(now);
+}
+
+void ServiceRouter::cancel(WaiterId waiter)
+{
+    std::erase_if(m_waiting, [waiter](const auto &item) { return item.second.id == waiter; });
+}
+
+bool ServiceRouter::holds(const Endpoint &endpoint) const
+{
+    const auto found = m_upstreams.find(endpoint.host);
+    return found != m_upstreams.end() && found->second.endpoint == endpoint;
+}
+
+int ServiceRouter::inFlight() const
+{
+    int total = 0;
+    for (const auto &[host, upstream] : m_upstreams)
+        total += upstream.inFlight;
+    return total;
+}
+
+ServiceRouter::Upstream *ServiceRouter::choose(const SlotRequest &request, Instant now)
+{
+    for (const bool allowEjected : {false, true}) {
+        for (const bool isLocal : {true, false}) {
+            std::vector<Upstream *> usable;
+            for (auto &[host, upstream] : m_upstreams) {
+                if (isUsable(upstream, request, isLocal, now, allowEjected))
+                    usable.push_back(&upstream);
+            }
+            if (usable.empty())
+                continue;
+            std::uniform_int_distribution<std::size_t> pick(0, usable.size() - 1);
+            Upstream *first = usable[pick(m_random)];
+            return better(first, usable[pick(m_random)]);
+        }
+    }
+    return nullptr;
+}
+
+ServiceRouter::Upstream *ServiceRouter::better(Upstream *left, Upstream *right)
+{
+    const auto load = [](const Upstream *upstream) {
+        return (upstream->inFlight + 1) * (upstream->latencyMs + 1) / upstream->window.size();
+    };
+    return load(left) <= load(right) ? left : right;
+}
+
+bool ServiceRouter::isUsable(const Upstream &upstream, const SlotRequest &request, bool isLocal,
+                             Instant now, bool allowEjected) const
+{
+    if ((upstream.endpoint.zone == m_settings.zone) != isLocal)
+        return false;
+    if (!isLocal && !request.viewIsFresh)
+        return false;
+    if (contains(request.avoid, upstream.endpoint.host))
+        return false;
+    if (upstream.ejectedUntil > now && !allowEjected)
+        return false;
+    // An ejected upstream is tried by one request at a time.
+    const int limit = upstream.ejectedUntil > now ? 1 : upstream.window.size();
+    const int share = isLocal ? limit : std::max(limit / 2, 1);
+    return upstream.inFlight < share;
+}
+
+bool ServiceRouter::hasReachableUpstream(const SlotRequest &request) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &item) {
+        const Endpoint &endpoint = item.second.endpoint;
+        const bool mayUse = request.viewIsFresh || endpoint.zone == m_settings.zone;
+        return mayUse && !contains(request.avoid, endpoint.host);
+    });
+}
+
+Millis ServiceRouter::expectedWait(const SlotRequest &request) const
+{
+    const auto ahead = std::distance(m_waiting.begin(), m_waiting.upper_bound(request.deadline));
+    const double rounds = static_cast<double>(ahead + 1) / std::max(totalWindow(), 1);
+    return Millis(static_cast<Millis::rep>(std::ceil(rounds * expectedLatencyMs())));
+}
+
+double ServiceRouter::expectedLatencyMs() const
+{
+    if (m_upstreams.empty())
+        return kInitialLatencyMs;
+    double total = 0;
+    for (const auto &[host, upstream] : m_upstreams)
+        total += std::min(upstream.latencyMs, kFailurePenaltyMs);
+    return total / static_cast<double>(m_upstreams.size());
+}
+
+int ServiceRouter::totalWindow() const
+{
+    int total = 0;
+    for (const auto &[host, upstream] : m_upstreams)
+        total += upstream.window.size();
+    return total;
+}
+
+std::vector<SlotGrant> ServiceRouter::grantWaiters(Instant now)
+{
+    std::vector<SlotGrant> grants;
+    for (auto waiter = m_waiting.begin(); waiter != m_waiting.end();) {
+        Upstream *upstream = choose(waiter->second.request, now);
+        if (!upstream)
+            break;
+        ++upstream->inFlight;
+        grants.push_back({upstream->endpoint, waiter->second.id});
+        waiter = m_waiting.erase(waiter);
+    }
+    return grants;
+}
+
+void ServiceRouter::recordFailure(Upstream &upstream, Instant now)
+{
+    upstream.latencyMs += kLatencyWeight * (kFailurePenaltyMs - upstream.latencyMs);
+    ++upstream.failuresInRow;
+    if (upstream.failuresInRow < kFailuresUntilEjection)
+        return;
+    const int doublings =
+        std::min(upstream.failuresInRow - kFailuresUntilEjection, kMaxEjectionDoublings);
+    upstream.ejectedUntil = now + kFirstEjection * (1 << doublings);
+}
+
+} // namespace oleanderhall
--- /dev/null
+++ b/standin/platform/hostlistservice.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cpprest/json.h>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace standin {
+
+/// A HostListService answers the platform's list of live and leaving hosts in the Prometheus HTTP
+/// service discovery format, a set lag behind the truth.
+class HostListService
+{
+public:
+    explicit HostListService(std::chrono::milliseconds lag) : m_lag(lag) {}
+
+    /// Sets a host's state: "live", "leaving" or "gone".
+    void set(const std::string &host, const std::string &state);
+    /// Returns the list as it was one lag ago.
+    web::json::value list();
+
+private:
+    struct Edit
+    {
+        std::chrono::steady_clock::time_point at;
+        std::string host;
+        std::string state;
+    };
+
+    std::chrono::milliseconds m_lag;
+    std::mutex m_mutex;
+    std::vector<Edit> m_pending;
+    std::map<std::string, std::string> m_listed;
+};
+
+} // namespace standin
--- /dev/null
+++ b/standin/platform/tableservice.cpp
@@ -0,0 +1,147 @@
+#include "tableservice.h"
+
+#include <chrono>
+
+namespace standin {
+
+using web::json::value;
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr std::size_t kMaxTransactItems = 100;
+constexpr std::string_view kOperationPrefix = "DynamoDB_20120810.";
+
+std::pair<std::string, std::string> keyIn(const value &json)
+{
+    return {json.at("pk").at("S").as_string(), json.at("sk").at("S").as_string()};
+}
+
+std::int64_t nowUs()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+TableAnswer validationError(const std::string &message)
+{
+    TableAnswer answer {.status = kBadRequest};
+    answer.body["__type"] = value::string("com.amazonaws.dynamodb.v20120810#ValidationException");
+    answer.body["message"] = value::string(message);
+    return answer;
+}
+
+TableAnswer cancelled(const std::vector<bool> &failed)
+{
+    TableAnswer answer {.status = kBadRequest};
+    answer.body["__type"] =
+        value::string("com.amazonaws.dynamodb.v20120810#TransactionCanceledException");
+    value reasons = value::array(failed.size());
+    for (std::size_t index = 0; index < failed.size(); ++index)
+        reasons[index]["Code"] = value::string(failed[index] ? "ConditionalCheckFailed" : "None");
+    answer.body["CancellationReasons"] = reasons;
+    return answer;
+}
+
+std::pair<std::string, value> onlyAction(const value &item)
+{
+    const auto &entry = *item.as_object().begin();
+    return {entry.first, entry.second};
+}
+
+} // namespace
+
+TableAnswer TableService::handle(const std::string &operation, const value &request)
+{
+    if (operation == std::string(kOperationPrefix) + "TransactWriteItems")
+        return transact(request);
+    if (operation == std::string(kOperationPrefix) + "GetItem")
+        return getItem(request);
+    if (operation == std::string(kOperationPrefix) + "Query")
+        return query(request);
+    return validationError("unknown operation " + operation);
+}
+
+value TableService::journal() const
+{
+    const std::lock_guard lock(m_mutex);
+    value result = value::array(m_commits.size());
+    for (std::size_t index = 0; index < m_commits.size(); ++index) {
+        result[index]["atUs"] = value::number(m_commits[index].atUs);
+        result[index]["token"] = value::string(m_commits[index].token);
+    }
+    return result;
+}
+
+TableAnswer TableService::transact(const value &request)
+{
+    const auto &items = request.at("TransactItems").as_array();
+    if (items.size() > kMaxTransactItems)
+        return validationError("more than 100 items in a transaction");
+    const std::lock_guard lock(m_mutex);
+    std::vector<bool> failed;
+    bool anyFailed = false;
+    for (const value &item : items) {
+        const auto [name, action] = onlyAction(item);
+        const Key key = keyIn(name == "Put" ? action.at("Item") : action.at("Key"));
+        failed.push_back(!holds(action, key));
+        anyFailed = anyFailed || failed.back();
+    }
+    if (anyFailed)
+        return cancelled(failed);
+    for (const value &item : items) {
+        const auto [name, action] = onlyAction(item);
+        if (name == "Put")
+            m_items.insert_or_assign(keyIn(action.at("Item")), action.at("Item"));
+        else if (name == "Delete")
+            m_items.erase(keyIn(action.at("Key")));
+    }
+    m_commits.push_back({nowUs(), request.at("ClientRequestToken").as_string()});
+    return {};
+}
+
+TableAnswer TableService::getItem(const value &request)
+{
+    const std::lock_guard lock(m_mutex);
+    TableAnswer answer;
+    const auto found = m_items.find(keyIn(request.at("Key")));
+    if (found != m_items.end())
+        answer.body["Item"] = found->second;
+    return answer;
+}
+
+TableAnswer TableService::query(const value &request)
+{
+    const auto &values = request.at("ExpressionAttributeValues");
+    const std::string partition = values.at(":pk").at("S").as_string();
+    const std::string after =
+        values.has_field(":sk") ? values.at(":sk").at("S").as_string() : std::string();
+    const auto limit = static_cast<std::size_t>(request.at("Limit").as_integer());
+    const std::lock_guard lock(m_mutex);
+    TableAnswer answer;
+    value items = value::array();
+    std::size_t count = 0;
+    auto item = m_items.upper_bound({partition, after});
+    for (; item != m_items.end() && item->first.first == partition && count < limit; ++item)
+        items[count++] = item->second;
+    if (item != m_items.end() && item->first.first == partition && count > 0) {
+        answer.body["LastEvaluatedKey"]["pk"] = items[count - 1].at("pk");
+        answer.body["LastEvaluatedKey"]["sk"] = items[count - 1].at("sk");
+    }
+    answer.body["Items"] = items;
+    return answer;
+}
+
+bool TableService::holds(const value &action, const Key &key) const
+{
+    if (!action.has_field("ConditionExpression"))
+        return true;
+    const auto found = m_items.find(key);
+    if (action.at("ConditionExpression").as_string() == "attribute_not_exists(pk)")
+        return found == m_items.end();
+    if (found == m_items.end())
+        return false;
+    return found->second.at("ver") == action.at("ExpressionAttributeValues").at(":ver");
+}
+
+} // namespace standin
