Serve stand-in and operators' calls without blocking the HTTP library's threads

Cause: handlers blocked for the request's body on the threads that read bodies, so four commands at once stopped the workers' stand-in for good (clients saw 'Failed to read HTTP status line' and hosts never became fit). The operators' server had the same shape: a call that waits for the platform held a thread that the platform's client needs.

Ruled out: the commands themselves; a single command by hand succeeded.

Conclusion: bodies are read by continuations; operators' calls run on two threads of their own.

--- a/src/daemon/operatorserver.cpp
+++ b/src/daemon/operatorserver.cpp
@@ -3,6 +3,8 @@
 #include "metrics.h"
 #include "operatorapi.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <cpprest/http_listener.h>
 
 namespace oleanderhall {
@@ -10,6 +12,12 @@
 using web::http::http_request;
 using web::http::status_codes;
 
+namespace {
+
+constexpr int kCallThreads = 2;
+
+} // namespace
+
 struct OperatorServer::Listener
 {
     Listener(const SocketAddress &address, OperatorApi &calls, Metrics &counters,
@@ -22,7 +30,11 @@
         listener.support([this](const http_request &request) { handle(request); });
         listener.open().wait();
     }
-    ~Listener() { listener.close().wait(); }
+    ~Listener()
+    {
+        listener.close().wait();
+        callThreads.join();
+    }
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
 
@@ -50,8 +62,11 @@
                 return; // The operator went away in the middle of the call.
             }
             call.isDryRun = request.relative_uri().query() == "dryRun=1";
-            const OperatorAnswer answer = api.handle(call);
-            request.reply(static_cast<web::http::status_code>(answer.status), answer.body);
+            // A call blocks on the platform, whose client needs the threads that run this.
+            boost::asio::post(callThreads, [this, request, call]() mutable {
+                const OperatorAnswer answer = api.handle(call);
+                request.reply(static_cast<web::http::status_code>(answer.status), answer.body);
+            });
         });
     }
 
@@ -64,6 +79,7 @@
     OperatorApi &api;
     Metrics &metrics;
     std::function<bool()> isReady;
+    boost::asio::thread_pool callThreads {kCallThreads};
     web::http::experimental::listener::http_listener listener;
 };
 
--- a/standin/platform/main.cpp
+++ b/standin/platform/main.cpp
@@ -59,28 +59,35 @@
     explicit Platform(std::chrono::milliseconds lag) : m_hosts(lag) {}
 
     void handle(http_request request)
+    {
+        // Blocking for the body would hold a thread that reading the body needs.
+        request.extract_utf8string(true).then(
+            [this, request](const pplx::task<std::string> &body) { answer(request, body); });
+    }
+
+private:
+    void answer(http_request request, const pplx::task<std::string> &body)
     {
         try {
-            route(request);
+            route(request, body.get());
         } catch (const std::exception &error) {
             request.reply(status_codes::BadRequest, error.what());
         }
     }
 
-private:
-    void route(http_request request)
+    void route(http_request request, const std::string &body)
     {
         const auto segments = web::uri::split_path(request.relative_uri().path());
         const std::string first = segments.empty() ? "" : segments[0];
         const std::string second = segments.size() > 1 ? segments[1] : "";
         if (first == "fault") {
-            const auto json = request.extract_json(true).get();
+            const auto json = web::json::value::parse(body);
             (second == "list" ? m_listFaults : m_faults).set(json);
             request.reply(status_codes::OK);
         } else if (first == "journal") {
             request.reply(status_codes::OK, m_table.journal());
         } else if (first == "admin") {
-            m_hosts.set(second, request.extract_json(true).get().at("state").as_string());
+            m_hosts.set(second, web::json::value::parse(body).at("state").as_string());
             request.reply(status_codes::OK);
         } else if (first == "hosts") {
             serve(m_listFaults, request, [this](http_request call, bool replies) {
@@ -88,14 +95,13 @@
                     call.reply(status_codes::OK, m_hosts.list());
             });
         } else if (first == "objects") {
-            const std::string body = request.extract_utf8string(true).get();
             serve(m_faults, request, [this, second, body](http_request call, bool replies) {
                 handleObject(call, second, body, replies);
             });
         } else {
-            const auto body = request.extract_json(true).get();
-            serve(m_faults, request, [this, body](http_request call, bool replies) {
-                handleTable(call, body, replies);
+            const auto json = web::json::value::parse(body);
+            serve(m_faults, request, [this, json](http_request call, bool replies) {
+                handleTable(call, json, replies);
             });
         }
     }
--- a/standin/workers/main.cpp
+++ b/standin/workers/main.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr int kApiThreads = 4;
+constexpr int kApiThreads = 16;
 constexpr int kInstanceThreads = 3;
 constexpr web::http::status_code kConflict = status_codes::Conflict;
 
@@ -31,16 +31,23 @@
     }
 
     void handle(http_request request)
+    {
+        // Blocking for the body would hold a thread that reading the body needs.
+        request.extract_utf8string(true).then(
+            [this, request](const pplx::task<std::string> &body) { answer(request, body); });
+    }
+
+private:
+    void answer(http_request request, const pplx::task<std::string> &body)
     {
         try {
-            route(request);
+            route(request, body.get());
         } catch (const std::exception &error) {
             request.reply(status_codes::BadRequest, error.what());
         }
     }
 
-private:
-    void route(http_request request)
+    void route(http_request request, const std::string &body)
     {
         const auto segments = web::uri::split_path(request.relative_uri().path());
         const std::string first = segments.empty() ? "" : segments[0];
@@ -49,7 +56,7 @@
         if (first == "executions") {
             request.reply(status_codes::OK, m_log.text());
         } else if (first == "fault") {
-            worker(name).setFault(request.extract_json(true).get().at("mode").as_string());
+            worker(name).setFault(web::json::value::parse(body).at("mode").as_string());
             request.reply(status_codes::OK);
         } else if (first != "workers" || name.empty()) {
             request.reply(status_codes::NotFound);
@@ -58,7 +65,7 @@
         } else if (request.method() == methods::GET) {
             request.reply(status_codes::OK, worker(name).state());
         } else {
-            const auto json = request.extract_json(true).get();
+            const auto json = web::json::value::parse(body);
             const bool isDone = action == "reboot" ? worker(name).reboot(json)
                                                    : worker(name).setTasks(json);
             request.reply(isDone ? status_codes::OK : kConflict);
