Refuse slow senders on an open connection; prove the edges at the socket

Cause: the time limit of Beast's stream closes the socket, so a slow sender got no refusal; its 408 was written to a closed connection.

Ruled out: a lost write; the socket was closed before the refusal was built.

--- a/apps/load/attempt.cpp
+++ b/apps/load/attempt.cpp
@@ -32,7 +32,8 @@
             >> attempt.isUnrepeatable >> attempt.sentUs >> attempt.doneUs >> attempt.status
             >> attempt.ran >> attempt.reason >> attempt.answeredFor;
         if (!fields)
-            throw std::runtime_error("malformed line in " + path + ": " + line);
+            throw std::runtime_error(
+                std::string("malformed line in ").append(path).append(": ").append(line));
         attempts.push_back(std::move(attempt));
     }
     return attempts;
--- a/include/oleanderhall/routing/claimledger.h
+++ b/include/oleanderhall/routing/claimledger.h
@@ -122,6 +122,7 @@
                                        std::vector<ClaimOutcome> &outcomes)
     {
         std::vector<TableWrite> writes;
+        writes.reserve(open.size());
         for (const std::size_t index : open) {
             writes.push_back(
                 putOf(requests[index].key, recordFor(requests[index]), TableWrite::kAbsent));
@@ -134,6 +135,7 @@
                 outcomes[index] = ClaimHandle{requests[index].key, 1, recordFor(requests[index])};
         } catch (const ConditionFailed &error) {
             std::vector<std::size_t> taken;
+            taken.reserve(error.failedWrites().size());
             for (const std::size_t write : error.failedWrites())
                 taken.push_back(open.at(write));
             return taken;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -443,7 +443,7 @@
     }
 }
 
-bool Controller::decideFor(PoolPlanner &planner, Observations seen, Instant now)
+bool Controller::decideFor(PoolPlanner &planner, const Observations &seen, Instant now)
 {
     PoolPlan plan = planner.decide(m_state, seen, now);
     for (const WorkerCommand &command : plan.commands)
--- a/src/daemon/controller.h
+++ b/src/daemon/controller.h
@@ -81,7 +81,7 @@
     void readHostList(Instant now);
     void removeDeadMembers(Instant now);
     void decide(Instant now);
-    bool decideFor(PoolPlanner &planner, Observations seen, Instant now);
+    bool decideFor(PoolPlanner &planner, const Observations &seen, Instant now);
     void watchHosts(const std::vector<PoolId> &pools);
     AppendOutcome append(LogEntry entry);
     std::string newOperation();
--- a/src/daemon/entryhost.cpp
+++ b/src/daemon/entryhost.cpp
@@ -89,9 +89,10 @@
                         .claims = m_claims,
                         .view = m_lease,
                         .metrics = m_metrics,
+                        .traces = m_traces,
                         .retryPercent = settings.retryPercent})
         , m_controller(settings, m_table, m_routes, m_lease, m_metrics)
-        , m_api(settings, m_controller, m_metrics)
+        , m_api(settings, m_controller, m_traces)
         , m_callers(std::make_shared<CallerServer>(m_io, limitsFrom(settings), m_dispatcher,
                                                    m_routes, m_metrics,
                                                    [this] { return isReady(); }))
@@ -180,6 +181,7 @@
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     Metrics m_metrics;
+    RequestTraces m_traces;
     DynamoTable m_table;
     RouteTable m_routes;
     ViewLease m_lease;
--- a/src/daemon/operatorapi.cpp
+++ b/src/daemon/operatorapi.cpp
@@ -1,8 +1,8 @@
 #include "operatorapi.h"
 
 #include "controller.h"
-#include "log.h"
-#include "metrics.h"
+
+#include "../http/requesttraces.h"
 
 #include "oleanderhall/core/errors.h"
 #include "oleanderhall/core/jsoncursor.h"
@@ -120,10 +120,11 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(const Settings &settings, Controller &controller, Metrics &metrics)
+OperatorApi::OperatorApi(const Settings &settings, Controller &controller,
+                         const RequestTraces &traces)
     : m_settings(settings)
     , m_controller(controller)
-    , m_metrics(metrics)
+    , m_traces(traces)
 {}
 
 OperatorAnswer OperatorApi::handle(const OperatorCall &call)
@@ -154,6 +155,8 @@
         return config();
     if (isGet && first == "plan")
         return plan();
+    if (isGet && first == "explain" && call.path.size() == 3 && call.path[1] == "request")
+        return explainRequest(call.path[2]);
     if (isGet && first == "explain" && call.path.size() == 3)
         return explain(call.path[1], call.path[2]);
     if (call.method == "POST" && first == "config")
@@ -365,6 +368,21 @@
     return answer;
 }
 
+OperatorAnswer OperatorApi::explainRequest(const std::string &requestId)
+{
+    const std::optional<RequestTrace> trace = m_traces.find(requestId);
+    if (!trace)
+        return problem(kNotFound, "request '" + requestId + "' is not among the latest here");
+    OperatorAnswer answer;
+    answer.body["entry"] = value::string(m_settings.id.name());
+    answer.body["service"] = value::string(trace->service);
+    value steps = value::array(trace->steps.size());
+    for (std::size_t index = 0; index < trace->steps.size(); ++index)
+        steps[index] = value::string(trace->steps[index]);
+    answer.body["steps"] = steps;
+    return answer;
+}
+
 OperatorAnswer OperatorApi::explain(const std::string &kind, const std::string &name)
 {
     OperatorAnswer answer;
--- a/src/daemon/operatorapi.h
+++ b/src/daemon/operatorapi.h
@@ -9,7 +9,7 @@
 namespace oleanderhall {
 
 class Controller;
-class Metrics;
+class RequestTraces;
 
 /// Internal: an operator's call without its transport.
 struct OperatorCall
@@ -31,7 +31,7 @@
 class OperatorApi
 {
 public:
-    OperatorApi(const Settings &settings, Controller &controller, Metrics &metrics);
+    OperatorApi(const Settings &settings, Controller &controller, const RequestTraces &traces);
 
     /// Answers a call. Never throws; every failure is an answer that says what was changed.
     OperatorAnswer handle(const OperatorCall &call);
@@ -44,11 +44,12 @@
     OperatorAnswer move(const OperatorCall &call);
     OperatorAnswer changeWave(const OperatorCall &call);
     OperatorAnswer plan();
+    OperatorAnswer explainRequest(const std::string &requestId);
     OperatorAnswer explain(const std::string &kind, const std::string &name);
 
     const Settings &m_settings;
     Controller &m_controller;
-    Metrics &m_metrics;
+    const RequestTraces &m_traces;
 };
 
 } // namespace oleanderhall
--- a/src/http/callerserver.cpp
+++ b/src/http/callerserver.cpp
@@ -33,8 +33,6 @@
         return RefusalReason::HeaderTooLarge;
     if (failed == http::error::body_limit)
         return RefusalReason::BodyTooLarge;
-    if (failed == beast::error::timeout)
-        return RefusalReason::RequestTooSlow;
     return RefusalReason::BadRequest;
 }
 
@@ -51,10 +49,42 @@
 {
     explicit Session(asio::ip::tcp::socket socket, std::size_t headerBytes)
         : stream(std::move(socket))
+        , limit(stream.get_executor())
         , buffer(2 * headerBytes)
     {}
 
+    /// Cancels what waits on the stream at `latest`. Unlike the stream's own limit, this leaves the
+    /// connection open for a refusal. Runs on the session's strand, as all that follows.
+    void limitReads(Instant latest)
+    {
+        isTimedOut = false;
+        stream.expires_never();
+        limit.expires_at(latest);
+        limit.async_wait([this, self = weakSelf.lock()](const beast::error_code &cancelled) {
+            if (cancelled || !areReadsLimited)
+                return;
+            isTimedOut = true;
+            stream.cancel();
+        });
+        areReadsLimited = true;
+    }
+    void endLimit()
+    {
+        areReadsLimited = false;
+        limit.cancel();
+    }
+
+    Refusal refusalFor(const beast::error_code &failed) const
+    {
+        const RefusalReason reason = isTimedOut ? RefusalReason::RequestTooSlow : reasonFor(failed);
+        return {reason, Ran::No, std::nullopt};
+    }
+
+    std::weak_ptr<Session> weakSelf;
     beast::tcp_stream stream;
+    asio::steady_timer limit;
+    bool areReadsLimited = false;
+    bool isTimedOut = false;
     beast::flat_buffer buffer;
     std::unique_ptr<BodyParser> parser;
     std::atomic<bool> isBusy{false};
@@ -127,6 +157,7 @@
         }
         socket.set_option(asio::ip::tcp::no_delay(true), failed);
         auto session = std::make_shared<Session>(std::move(socket), m_limits.headerBytes);
+        session->weakSelf = session;
         {
             const std::lock_guard lock(m_mutex);
             m_sessions.insert(session);
@@ -148,6 +179,7 @@
     if (session->isBusy)
         --m_busy;
     m_buffered -= session->reserved;
+    session->endLimit();
     session->stream.close();
     const std::lock_guard lock(m_mutex);
     m_sessions.erase(session);
@@ -172,13 +204,14 @@
     }
     session->isBusy = true;
     ++m_busy;
-    session->stream.expires_after(m_limits.headerTime);
+    session->limitReads(std::chrono::steady_clock::now() + m_limits.headerTime);
     co_await http::async_read_header(session->stream, session->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, failed));
+    session->endLimit();
     if (failed == http::error::end_of_stream || failed == http::error::partial_message)
         co_return false;
     if (failed)
-        co_return co_await refuse(session, {reasonFor(failed), Ran::No, std::nullopt});
+        co_return co_await refuse(session, session->refusalFor(failed));
     const Instant headerEnd = std::chrono::steady_clock::now();
     if (const std::optional<Refusal> refusal = co_await readBody(session, headerEnd))
         co_return co_await refuse(session, *refusal);
@@ -220,11 +253,12 @@
         co_await http::async_write(session->stream, proceed,
                                    asio::redirect_error(asio::use_awaitable, failed));
     }
-    session->stream.expires_at(headerEnd + m_limits.bodyTime);
+    session->limitReads(headerEnd + m_limits.bodyTime);
     co_await http::async_read(session->stream, session->buffer, parser,
                               asio::redirect_error(asio::use_awaitable, failed));
+    session->endLimit();
     if (failed)
-        co_return Refusal{reasonFor(failed), Ran::No, std::nullopt};
+        co_return session->refusalFor(failed);
     co_return std::nullopt;
 }
 
@@ -259,14 +293,8 @@
     response.content_length(reply.body.size());
     session->stream.expires_after(m_limits.answerTime);
     beast::error_code failed;
-    http::response_serializer<http::string_body> serializer(response);
-    if (isHead) {
-        co_await http::async_write_header(session->stream, serializer,
-                                          asio::redirect_error(asio::use_awaitable, failed));
-    } else {
-        co_await http::async_write(session->stream, serializer,
-                                   asio::redirect_error(asio::use_awaitable, failed));
-    }
+    co_await http::async_write(session->stream, response,
+                               asio::redirect_error(asio::use_awaitable, failed));
     if (failed)
         m_metrics.count("answers_not_delivered_total");
     co_return !failed && keepAlive;
--- a/src/http/dispatcher.cpp
+++ b/src/http/dispatcher.cpp
@@ -6,7 +6,10 @@
 
 #include "../daemon/metrics.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
+#include <array>
 
 namespace oleanderhall {
 
@@ -44,15 +47,22 @@
     return std::min(call.deadline, now + std::max(half, kShortestTry));
 }
 
-std::string contentTypeOf(const Reply &reply)
+std::string headerOf(const HeaderList &headers, std::string_view wanted)
 {
-    for (const auto &[name, value] : reply.headers) {
-        if (name == "Content-Type" || name == "content-type")
+    for (const auto &[name, value] : headers) {
+        if (boost::beast::iequals(name, {wanted.data(), wanted.size()}))
             return value;
     }
     return {};
 }
 
+std::string_view nameOf(UpstreamOutcome::Kind kind)
+{
+    constexpr std::array<std::string_view, 5> kNames{"answered", "nothing sent", "stale connection",
+                                                     "timed out", "broken answer"};
+    return kNames[static_cast<std::size_t>(kind)];
+}
+
 } // namespace
 
 struct Dispatcher::Progress
@@ -61,6 +71,7 @@
     bool wasSent = false; ///< An earlier try was sent and its outcome is unknown.
     std::vector<HostId> tried;
     std::optional<ClaimHandle> claim;
+    std::vector<std::string> steps;
 };
 
 Dispatcher::Dispatcher(DispatcherParts parts)
@@ -76,13 +87,17 @@
         const std::lock_guard lock(m_budgetMutex);
         m_budget.countFirstTry(timeNow());
     }
-    for (;;) {
+    std::optional<Reply> reply;
+    while (!reply) {
         if (timeNow() >= call.deadline)
-            co_return refuse(call, progress, {RefusalReason::UpstreamTimeout, Ran::No, kComeBack});
-        std::optional<Reply> reply = co_await attempt(call, progress);
-        if (reply)
-            co_return std::move(*reply);
+            reply = refuse(call, progress, {RefusalReason::UpstreamTimeout, Ran::No, kComeBack});
+        else
+            reply = co_await attempt(call, progress);
     }
+    progress.steps.push_back("status " + std::to_string(reply->status));
+    m_parts.traces.add(
+        {headerOf(call.headers, "X-Request-Id"), call.rule.id.name(), std::move(progress.steps)});
+    co_return std::move(*reply);
 }
 
 asio::awaitable<std::optional<Reply>> Dispatcher::attempt(Call &call, Progress &progress)
@@ -155,6 +170,7 @@
                                        UpstreamOutcome outcome)
 {
     using Kind = UpstreamOutcome::Kind;
+    progress.steps.push_back(endpoint.host.name() + " " + std::string(nameOf(outcome.kind)));
     if (outcome.kind != Kind::Stale)
         progress.tried.push_back(endpoint.host);
     if (outcome.kind == Kind::NotSent) {
@@ -200,7 +216,7 @@
         ClaimRecord record = progress.claim->record;
         record.state = ClaimState::Done;
         record.status = reply.status;
-        record.contentType = contentTypeOf(reply);
+        record.contentType = headerOf(reply.headers, "Content-Type");
         record.body = reply.body;
         record.keepsBody = true;
         m_parts.claims.settle(*progress.claim, std::move(record));
@@ -218,6 +234,7 @@
         record.state = refusal.ran == Ran::No ? ClaimState::Released : ClaimState::Unknown;
         m_parts.claims.settle(*progress.claim, std::move(record));
     }
+    progress.steps.push_back("refused " + std::string(nameOf(refusal.reason)));
     m_parts.metrics.countRefusal(refusal.reason);
     m_parts.metrics.countAnswer(statusOf(refusal.reason), since(call.received));
     return problemReply(refusal);
--- a/src/http/dispatcher.h
+++ b/src/http/dispatcher.h
@@ -4,6 +4,7 @@
 
 #include "call.h"
 #include "claimservice.h"
+#include "requesttraces.h"
 #include "routetable.h"
 #include "upstreamclient.h"
 
@@ -27,6 +28,7 @@
     ClaimService &claims;
     const ViewLease &view;
     Metrics &metrics;
+    RequestTraces &traces;
     int retryPercent = 10; ///< Highest share of retries in first tries, in percent.
 };
 
--- a/src/http/oneshot.h
+++ b/src/http/oneshot.h
@@ -21,8 +21,8 @@
 class OneShot : public std::enable_shared_from_this<OneShot<T>>
 {
 public:
-    explicit OneShot(boost::asio::any_io_executor executor)
-        : m_timer(std::move(executor))
+    explicit OneShot(const boost::asio::any_io_executor &executor)
+        : m_timer(executor)
     {}
 
     /// Gives the value. Returns false when the waiter has given up; the value is then not taken.
--- a/tests/fleet/logentry_test.cpp
+++ b/tests/fleet/logentry_test.cpp
@@ -14,23 +14,20 @@
 
 LogEntry sampleEntry()
 {
-    LogEntry entry {.sequence = {7},
-                    .actor = EntryId("e1"),
-                    .operation = "e1-3",
-                    .reason = "because"};
-    HostRecord record {.id = HostId("h1"),
-                       .pool = PoolId("a"),
-                       .state = HostState::Draining,
-                       .epoch = {3},
-                       .disruption = Disruption::Reboot,
-                       .wave = WaveId("w")};
+    LogEntry entry{
+        .sequence = {7}, .actor = EntryId("e1"), .operation = "e1-3", .reason = "because"};
+    HostRecord record{.id = HostId("h1"),
+                      .pool = PoolId("a"),
+                      .state = HostState::Draining,
+                      .epoch = {3},
+                      .disruption = Disruption::Reboot,
+                      .wave = WaveId("w")};
     record.instances.push_back({ServiceId("alpha"), InstanceState::Ready});
-    entry.changes.push_back(HostChange {record});
-    entry.changes.push_back(HostRemoval {HostId("h2")});
+    entry.changes.push_back(HostChange{record});
+    entry.changes.push_back(HostRemoval{HostId("h2")});
     entry.changes.push_back(
-        WaveChange {{WaveId("w"), PoolId("a"), WaveStatus::Paused, "an operator"}});
-    entry.changes.push_back(
-        ConfigChange {{4}, difference(Register {}, test::smallRegister())});
+        WaveChange{{WaveId("w"), PoolId("a"), WaveStatus::Paused, "an operator"}});
+    entry.changes.push_back(ConfigChange{{4}, difference(Register{}, test::smallRegister())});
     return entry;
 }
 
--- a/tests/fleet/poolplanner_test.cpp
+++ b/tests/fleet/poolplanner_test.cpp
@@ -56,14 +56,14 @@
         spec.pool = pick(2) == 0 ? kPoolA : kPoolB;
         RegisterPatch patch;
         patch.hosts.push_back(spec);
-        return world.operate(ConfigChange {world.truth.configVersion().next(), patch});
+        return world.operate(ConfigChange{world.truth.configVersion().next(), patch});
     }
     default: {
         PoolRule rule = world.truth.config().pools.at(kPoolA);
         rule.minAvailable = static_cast<int>(3 + pick(3));
         RegisterPatch patch;
         patch.pools.push_back(rule);
-        return world.operate(ConfigChange {world.truth.configVersion().next(), patch});
+        return world.operate(ConfigChange{world.truth.configVersion().next(), patch});
     }
     }
 }
@@ -72,7 +72,7 @@
 {
     FleetWorld world(checksHead);
     world.settle(12);
-    world.operate(WaveChange {{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
+    world.operate(WaveChange{{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
     std::mt19937 random(seed);
     constexpr int kSteps = 400;
     for (int step = 0; step < kSteps; ++step)
@@ -99,7 +99,7 @@
 {
     FleetWorld world(true);
     world.settle(12);
-    world.operate(WaveChange {{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
+    world.operate(WaveChange{{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
     world.settle(120);
     CHECK(world.truth.waveOf(kPoolA)->status == WaveStatus::Done);
     for (const HostId host : world.truth.hostsOf(kPoolA))
@@ -111,7 +111,7 @@
 {
     FleetWorld world(true);
     world.settle(12);
-    world.operate(WaveChange {{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
+    world.operate(WaveChange{{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
     test::FleetWorld::Decider &decider = world.deciders[0];
     for (int round = 0; round < 400; ++round) {
         for (EntryObservation &entry : world.entries)
@@ -136,7 +136,7 @@
 {
     FleetWorld world(true);
     world.settle(12);
-    world.operate(WaveChange {{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
+    world.operate(WaveChange{{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
     test::FleetWorld::Decider &decider = world.deciders[0];
     for (int round = 0; round < 200; ++round) {
         for (EntryObservation &entry : world.entries) {
@@ -178,7 +178,7 @@
     spec.pool = kPoolB;
     RegisterPatch patch;
     patch.hosts.push_back(spec);
-    world.operate(ConfigChange {{2}, patch});
+    world.operate(ConfigChange{{2}, patch});
     world.settle(20);
     CHECK(world.truth.record(HostId("a0"))->pool == kPoolB);
     CHECK(world.truth.record(HostId("a0"))->state == HostState::Serving);
--- /dev/null
+++ b/tests/http/callerserver_test.cpp
@@ -0,0 +1,210 @@
+#include <utility>
+
+#include "../../src/http/callerserver.h"
+
+#include "../../src/daemon/metrics.h"
+#include "../../src/http/claimservice.h"
+#include "../../src/http/dispatcher.h"
+#include "../../src/http/requesttraces.h"
+#include "../../src/http/routetable.h"
+#include "../../src/http/upstreamclient.h"
+
+#include "../support/fakeupstream.h"
+#include "../support/registers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oleanderhall;
+using test::FakeUpstream;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Runs a CallerServer on loopback with one service, "alpha", on one upstream.
+class CallerServerTest
+{
+protected:
+    explicit CallerServerTest(CallerLimits limits = {.headerBytes = 2048,
+                                                     .bodyBytes = 4096,
+                                                     .bufferedBytes = 8192,
+                                                     .connections = 8,
+                                                     .headerTime = Millis(300),
+                                                     .bodyTime = Millis(300),
+                                                     .idleTime = Millis(2000)})
+        : server(std::make_shared<CallerServer>(io, limits, dispatcher, routes, metrics,
+                                                [] { return true; }))
+    {
+        lease.renew(std::chrono::steady_clock::now() + std::chrono::hours(1));
+        FleetState state;
+        Register config = test::smallRegister();
+        config.services.at(ServiceId("alpha")).port = upstream.port();
+        config.services.at(ServiceId("alpha")).unrepeatable = {{"POST", "/orders"}};
+        config.hosts.at(HostId("a0")).address = "127.0.0.1";
+        HostRecord record{.id = HostId("a0"), .pool = PoolId("a"), .state = HostState::Serving};
+        record.instances.push_back({ServiceId("alpha"), InstanceState::Ready});
+        state.restore({1}, {1}, config, {record}, {});
+        routes.refresh(state, {});
+        server->start("127.0.0.1", kPort);
+    }
+    ~CallerServerTest()
+    {
+        server->stop();
+        io.stop();
+        thread.join();
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(client);
+        socket.connect({asio::ip::make_address("127.0.0.1"), kPort});
+        return socket;
+    }
+
+    /// Sends `text` and returns everything until the server closes or a whole answer came.
+    std::string exchange(const std::string &text)
+    {
+        asio::ip::tcp::socket socket = connect();
+        FakeUpstream::send(socket, text);
+        return readAll(socket);
+    }
+
+    static std::string readAll(asio::ip::tcp::socket &socket)
+    {
+        std::string answer;
+        boost::system::error_code ignored;
+        asio::read(socket, asio::dynamic_buffer(answer), ignored);
+        return answer;
+    }
+
+    static bool has(const std::string &answer, const std::string &status, const std::string &reason)
+    {
+        return answer.starts_with("HTTP/1.1 " + status)
+            && answer.find("\"reason\":\"" + reason + "\",\"ran\":\"no\"") != std::string::npos;
+    }
+
+    static constexpr std::uint16_t kPort = 18099;
+    const std::string kGood = "GET /alpha/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+    FakeUpstream upstream{[](auto &socket, const auto &, int) {
+        FakeUpstream::send(socket, FakeUpstream::answer("fine"));
+        return true;
+    }};
+    asio::io_context client;
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work{asio::make_work_guard(io)};
+    Metrics metrics;
+    RequestTraces traces;
+    ViewLease lease{Millis(3000)};
+    RouteTable routes{RouterSettings{.zone = ZoneId("z0")}};
+    UpstreamClient upstreams{io, {}};
+    DynamoTable table{"http://127.0.0.1:1/", Millis(200)}; // Nobody listens there.
+    ClaimService claims{table};
+    Dispatcher dispatcher{{routes, upstreams, claims, lease, metrics, traces}};
+    std::shared_ptr<CallerServer> server;
+    std::thread thread{[this] { io.run(); }};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(CallerServerTest, "CallerServer: a good request: the upstream's answer comes back")
+{
+    const std::string answer = exchange(kGood);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.ends_with("fine"));
+}
+
+TEST_CASE_METHOD(CallerServerTest, "CallerServer: an endless header: refused with its limit kept")
+{
+    const std::string answer = exchange("GET /alpha/x HTTP/1.1\r\nX: " + std::string(100000, 'x')
+                                        + "\r\n\r\n");
+    CHECK(has(answer, "431", "header_too_large"));
+}
+
+TEST_CASE_METHOD(CallerServerTest, "CallerServer: a body over the limit: refused before it is read")
+{
+    const std::string answer = exchange(
+        "POST /alpha/x HTTP/1.1\r\nHost: h\r\nContent-Length: 104857600\r\n\r\nx");
+    CHECK(has(answer, "413", "body_too_large"));
+}
+
+TEST_CASE_METHOD(CallerServerTest, "CallerServer: an endless chunked body: refused at the limit")
+{
+    std::string chunks;
+    for (int count = 0; count < 100; ++count)
+        chunks += "100\r\n" + std::string(256, 'c') + "\r\n";
+    const std::string answer = exchange(
+        "POST /alpha/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+    CHECK(has(answer, "413", "body_too_large"));
+}
+
+TEST_CASE_METHOD(CallerServerTest, "CallerServer: two lengths: refused, and nothing is run")
+{
+    for (const std::string fields : {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                                     "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                                     "Content-Length: 4\r\nContent-Length: 5\r\n"}) {
+        const std::string answer = exchange("POST /alpha/x HTTP/1.1\r\nHost: h\r\n" + fields
+                                            + "\r\n0\r\n\r\nGET /alpha/y HTTP/1.1\r\n\r\n");
+        CHECK(has(answer, "400", "bad_request"));
+    }
+    CHECK(upstream.requests() == 0);
+}
+
+TEST_CASE_METHOD(CallerServerTest, "CallerServer: a slow sender: refused, and others are served")
+{
+    asio::ip::tcp::socket slow = connect();
+    FakeUpstream::send(slow, "GET /alpha/x HT");
+    CHECK(exchange(kGood).starts_with("HTTP/1.1 200"));
+    CHECK(has(readAll(slow), "408", "request_too_slow"));
+}
+
+TEST_CASE_METHOD(CallerServerTest, "CallerServer: a body that stops half way: refused as too slow")
+{
+    const std::string answer = exchange(
+        "POST /alpha/x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf");
+    CHECK(has(answer, "408", "request_too_slow"));
+    CHECK(upstream.requests() == 0);
+}
+
+TEST_CASE_METHOD(CallerServerTest,
+                 "CallerServer: more connections than allowed: closed and counted")
+{
+    std::vector<asio::ip::tcp::socket> idle;
+    for (int count = 0; count < 8; ++count)
+        idle.push_back(connect());
+    asio::ip::tcp::socket extra = connect();
+    CHECK(readAll(extra).empty());
+    CHECK(metrics.text().find("refusals_total{reason=\"too_many_connections\"} 1\n")
+          != std::string::npos);
+}
+
+TEST_CASE_METHOD(CallerServerTest, "CallerServer: faulty requests: each gets its reason")
+{
+    const auto request = [](const std::string &line, const std::string &fields) {
+        return line + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + fields + "\r\n";
+    };
+    CHECK(has(exchange("nonsense\r\n\r\n"), "400", "bad_request"));
+    CHECK(has(exchange(request("GET /nowhere", "")), "404", "unknown_service"));
+    for (const std::string timeout : {"0", "-1", "x", "99999999999", "5s"}) {
+        const std::string field = "X-Request-Timeout-Ms: " + timeout + "\r\n";
+        CHECK(has(exchange(request("GET /alpha/x", field)), "400", "bad_timeout"));
+    }
+    CHECK(has(exchange(request("POST /alpha/orders", "Content-Length: 0\r\n")), "400",
+              "missing_key"));
+    const std::string key = "Content-Length: 0\r\nIdempotency-Key: ";
+    CHECK(has(exchange(request("POST /alpha/orders", key + std::string(300, 'k') + "\r\n")), "400",
+              "bad_key"));
+    CHECK(has(exchange(request("POST /alpha/orders", key + "a\r\nIdempotency-Key: b\r\n")), "400",
+              "bad_key"));
+    CHECK(upstream.requests() == 0);
+}
+
+TEST_CASE_METHOD(CallerServerTest,
+                 "CallerServer: an unrepeatable request without the table: refused as not run")
+{
+    const std::string answer = exchange(
+        "POST /alpha/orders HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "Content-Length: 0\r\nIdempotency-Key: k\r\n\r\n");
+    CHECK(has(answer, "503", "claims_unavailable"));
+    CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(upstream.requests() == 0);
+}
--- a/tests/membership/membertable_test.cpp
+++ b/tests/membership/membertable_test.cpp
@@ -15,8 +15,8 @@
 class MemberTableTest
 {
 protected:
-    Instant now {std::chrono::hours(1)};
-    MemberTable table {Millis(5000), Millis(0)};
+    Instant now{std::chrono::hours(1)};
+    MemberTable table{Millis(5000), Millis(0)};
 
     static MemberRow row(const std::string &id, std::uint64_t beat)
     {
@@ -30,14 +30,15 @@
 
 } // namespace
 
-TEST_CASE_METHOD(MemberTableTest, "MemberTable: a row that doesn't change: lapses after the lapse time")
+TEST_CASE_METHOD(MemberTableTest,
+                 "MemberTable: a row that doesn't change: lapses after the lapse time")
 {
     table.update({row("a", 1), row("b", 1)}, {1}, now);
     now += Millis(4999);
     table.update({row("a", 2), row("b", 1)}, {1}, now);
     CHECK(table.owners(now).size() == 2);
     now += Millis(1);
-    CHECK(table.owners(now) == std::vector<EntryId> {EntryId("a")});
+    CHECK(table.owners(now) == std::vector<EntryId>{EntryId("a")});
     CHECK(table.observations(now)[1].lapsed);
 }
 
@@ -71,7 +72,7 @@
 
 TEST_CASE("ViewLease: renewed by an older read: does not get older or newer")
 {
-    const Instant now {std::chrono::hours(1)};
+    const Instant now{std::chrono::hours(1)};
     ViewLease lease(Millis(3000));
     CHECK_FALSE(lease.isFresh(now));
     lease.renew(now);
--- a/tests/register/registerparser_test.cpp
+++ b/tests/register/registerparser_test.cpp
@@ -59,15 +59,15 @@
     replace(hosts, "\"id\":\"h2\"", "\"id\":\"h1\"");
     replace(rules, "\"port\":7000", "\"port\":0");
     replace(rules, "\"slots\":8", "\"slots\":8,\"colour\":1");
-    const std::vector<std::string> expected {"register/hosts/0/address", "register/hosts/1/id",
-                                             "rules/services/0/colour", "rules/services/0/port"};
+    const std::vector<std::string> expected{"register/hosts/0/address", "register/hosts/1/id",
+                                            "rules/services/0/colour", "rules/services/0/port"};
     CHECK(places() == expected);
 }
 
 TEST_CASE_METHOD(RegisterParserTest, "parseRegister: a budget that allows no wave: is a finding")
 {
     replace(rules, "\"minAvailable\":1", "\"minAvailable\":2");
-    CHECK(places() == std::vector<std::string> {"rules/pools/p/minAvailable"});
+    CHECK(places() == std::vector<std::string>{"rules/pools/p/minAvailable"});
 }
 
 TEST_CASE_METHOD(RegisterParserTest, "parseRegister: a port used by two services: is a finding")
@@ -75,13 +75,13 @@
     replace(rules, "\"services\":[",
             R"("services":[{"id":"t","pool":"p","instances":1,"port":7000,"slots":8,
                "connections":64},)");
-    CHECK(places() == std::vector<std::string> {"rules/services/t/port"});
+    CHECK(places() == std::vector<std::string>{"rules/services/t/port"});
 }
 
 TEST_CASE_METHOD(RegisterParserTest, "parseRegister: text that is not JSON: is refused by name")
 {
     hosts = "{";
-    CHECK(places() == std::vector<std::string> {"register"});
+    CHECK(places() == std::vector<std::string>{"register"});
 }
 
 TEST_CASE("checkTransition: a port that passes to another service: is a finding")
--- a/tests/rollout/changelog_test.cpp
+++ b/tests/rollout/changelog_test.cpp
@@ -19,7 +19,7 @@
 protected:
     MemoryTable table;
     MemoryStore store;
-    ChangeLog<MemoryTable, MemoryStore> log {table, store};
+    ChangeLog<MemoryTable, MemoryStore> log{table, store};
     int operations = 0;
 
     LogEntry entryAfter(const LogHead &head, std::vector<Change> changes)
@@ -33,7 +33,7 @@
 
     static std::vector<Change> hostChange(const std::string &host)
     {
-        return {HostChange {{.id = HostId(host), .pool = PoolId("a")}}};
+        return {HostChange{{.id = HostId(host), .pool = PoolId("a")}}};
     }
 
     AppendOutcome append(LogHead &head, std::vector<Change> changes, const Register &after = {})
@@ -53,12 +53,13 @@
     CHECK(log.readAfter({}, 10).size() == 1);
 }
 
-TEST_CASE_METHOD(ChangeLogTest, "ChangeLog: the answer of an append is lost: it counts as committed")
+TEST_CASE_METHOD(ChangeLogTest,
+                 "ChangeLog: the answer of an append is lost: it counts as committed")
 {
     LogHead head = log.readHead();
     table.faults = {WriteFault::LostAnswer};
     CHECK(append(head, hostChange("h1")) == AppendOutcome::Committed);
-    CHECK(head.sequence == Sequence {1});
+    CHECK(head.sequence == Sequence{1});
 }
 
 TEST_CASE_METHOD(ChangeLogTest, "ChangeLog: a late append after another one: never takes effect")
@@ -80,10 +81,11 @@
     LogEntry entry = entryAfter(head, hostChange("h1"));
     entry.reason = std::string(100000, 'x');
     CHECK_THROWS_AS(log.append(entry, {}, head), InvalidDocument);
-    CHECK(log.readHead().sequence == Sequence {0});
+    CHECK(log.readHead().sequence == Sequence{0});
 }
 
-TEST_CASE_METHOD(ChangeLogTest, "ChangeLog: a configuration too large for a row: is read back whole")
+TEST_CASE_METHOD(ChangeLogTest,
+                 "ChangeLog: a configuration too large for a row: is read back whole")
 {
     Register large = test::smallRegister();
     for (int index = 0; index < 3000; ++index) {
@@ -93,7 +95,7 @@
         large.hosts.emplace(spec.id, spec);
     }
     LogHead head = log.readHead();
-    const std::vector<Change> changes {ConfigChange {{1}, difference(Register {}, large)}};
+    const std::vector<Change> changes{ConfigChange{{1}, difference(Register{}, large)}};
     CHECK(append(head, changes, large) == AppendOutcome::Committed);
     CHECK(log.load().config() == large);
     FleetState follower;
@@ -101,7 +103,8 @@
     CHECK(follower.config() == large);
 }
 
-TEST_CASE_METHOD(ChangeLogTest, "ChangeLog: any history with faults: a loaded state is the replayed one")
+TEST_CASE_METHOD(ChangeLogTest,
+                 "ChangeLog: any history with faults: a loaded state is the replayed one")
 {
     rc::prop("load() equals a replay of the log, and versions only grow", [] {
         MemoryTable table;
@@ -125,20 +128,20 @@
             if (replayed.configVersion().value == 0 || *rc::gen::inRange(0, 2) == 0) {
                 after = config;
                 after.wave.maxFailures = *rc::gen::inRange(1, 100);
-                changes.push_back(ConfigChange {replayed.configVersion().next(),
-                                                difference(replayed.config(), after)});
+                changes.push_back(ConfigChange{replayed.configVersion().next(),
+                                               difference(replayed.config(), after)});
             } else {
                 const std::string host = "h" + std::to_string(*rc::gen::inRange(0, 4));
                 if (*rc::gen::inRange(0, 4) == 0)
-                    changes.push_back(HostRemoval {HostId(host)});
+                    changes.push_back(HostRemoval{HostId(host)});
                 else
-                    changes.push_back(HostChange {{.id = HostId(host), .pool = PoolId("a")}});
+                    changes.push_back(HostChange{{.id = HostId(host), .pool = PoolId("a")}});
             }
-            const LogEntry entry {.sequence = head.sequence.next(),
-                                  .actor = EntryId("e"),
-                                  .operation = "op" + std::to_string(++operation),
-                                  .reason = "test",
-                                  .changes = changes};
+            const LogEntry entry{.sequence = head.sequence.next(),
+                                 .actor = EntryId("e"),
+                                 .operation = "op" + std::to_string(++operation),
+                                 .reason = "test",
+                                 .changes = changes};
             log.append(entry, after, head);
             if (*rc::gen::inRange(0, 3) == 0)
                 table.landLateWrites();
--- a/tests/routing/claimledger_test.cpp
+++ b/tests/routing/claimledger_test.cpp
@@ -25,7 +25,7 @@
 {
 protected:
     MemoryTable table;
-    ClaimLedger<MemoryTable> ledger {table};
+    ClaimLedger<MemoryTable> ledger{table};
     int tokens = 0;
 
     ClaimRequest request(const std::string &key, const std::string &hash = "hash")
@@ -87,7 +87,8 @@
     CHECK(std::holds_alternative<ClaimHandle>(outcomes[2]));
 }
 
-TEST_CASE_METHOD(ClaimLedgerTest, "ClaimLedger: the answer is lost, the claim was taken: it is held")
+TEST_CASE_METHOD(ClaimLedgerTest,
+                 "ClaimLedger: the answer is lost, the claim was taken: it is held")
 {
     table.faults = {WriteFault::LostAnswer};
     CHECK(std::holds_alternative<ClaimHandle>(claimOne(request("k"))));
@@ -112,8 +113,8 @@
         .THROW(PlatformUnavailable("down"));
     FORBID_CALL(table, read(trompeloeil::_));
     const auto outcome = ledger.claim({{{"claim-s", "k"}, "hash", "token"}}).front();
-    CHECK(std::get<Refusal>(outcome) ==
-          Refusal {RefusalReason::ClaimsUnavailable, Ran::No, Millis(1000)});
+    CHECK(std::get<Refusal>(outcome)
+          == Refusal{RefusalReason::ClaimsUnavailable, Ran::No, Millis(1000)});
 }
 
 TEST_CASE("ClaimLedger: callers retry through several entry hosts under faults: a key runs once")
@@ -126,8 +127,9 @@
         const int steps = *rc::gen::inRange(1, 60);
         for (int step = 0; step < steps; ++step) {
             const auto faults = *rc::gen::container<std::deque<WriteFault>>(
-                2, rc::gen::element(WriteFault::None, WriteFault::None, WriteFault::LostAnswer,
-                                    WriteFault::LateEffect, WriteFault::Down));
+                2,
+                rc::gen::element(WriteFault::None, WriteFault::None, WriteFault::LostAnswer,
+                                 WriteFault::LateEffect, WriteFault::Down));
             table.faults = faults;
             table.readsFail = *rc::gen::inRange(0, 6) == 0;
             std::vector<ClaimRequest> batch;
--- a/tests/routing/retrybudget_test.cpp
+++ b/tests/routing/retrybudget_test.cpp
@@ -10,7 +10,7 @@
 {
     rc::prop("retries * 10 <= first tries", [] {
         RetryBudget budget(10);
-        const Instant start {std::chrono::hours(1)};
+        const Instant start{std::chrono::hours(1)};
         int firstTries = 0;
         int retries = 0;
         const int calls = *rc::gen::inRange(0, 2000);
@@ -30,7 +30,7 @@
 TEST_CASE("RetryBudget: a new minute: starts without what was left")
 {
     RetryBudget budget(10);
-    const Instant start {std::chrono::hours(1)};
+    const Instant start{std::chrono::hours(1)};
     for (int call = 0; call < 100; ++call)
         budget.countFirstTry(start);
     CHECK(budget.tryRetry(start));
--- a/tests/routing/servicerouter_test.cpp
+++ b/tests/routing/servicerouter_test.cpp
@@ -11,8 +11,8 @@
 class ServiceRouterTest
 {
 protected:
-    Instant now {std::chrono::hours(1)};
-    ServiceRule rule {.id = ServiceId("s"), .pool = PoolId("p"), .slots = 4};
+    Instant now{std::chrono::hours(1)};
+    ServiceRule rule{.id = ServiceId("s"), .pool = PoolId("p"), .slots = 4};
 
     ServiceRouter routerWith(int local, int remote, std::size_t maxWaiting = 4)
     {
@@ -20,7 +20,10 @@
         std::vector<Endpoint> endpoints;
         for (int index = 0; index < local + remote; ++index) {
             endpoints.push_back({HostId("h" + std::to_string(index)),
-                                 ZoneId(index < local ? "here" : "there"), {1}, "127.0.0.1", 1});
+                                 ZoneId(index < local ? "here" : "there"),
+                                 {1},
+                                 "127.0.0.1",
+                                 1});
         }
         router.setEndpoints(endpoints, now);
         return router;
@@ -65,7 +68,8 @@
     CHECK(late.id != early.id);
 }
 
-TEST_CASE_METHOD(ServiceRouterTest, "ServiceRouter: a deadline that can't be met: refused on arrival")
+TEST_CASE_METHOD(ServiceRouterTest,
+                 "ServiceRouter: a deadline that can't be met: refused on arrival")
 {
     ServiceRouter router = routerWith(1, 0);
     for (int count = 0; count < 4; ++count)
@@ -101,7 +105,8 @@
     CHECK(failed < 30);
 }
 
-TEST_CASE_METHOD(ServiceRouterTest, "ServiceRouter: any sequence of calls: no slot is lost or shared")
+TEST_CASE_METHOD(ServiceRouterTest,
+                 "ServiceRouter: any sequence of calls: no slot is lost or shared")
 {
     rc::prop("in flight never exceeds the slots, and all come back", [this] {
         ServiceRouter router = routerWith(2, 2);
@@ -125,9 +130,8 @@
             } else {
                 const Endpoint endpoint = held.back();
                 held.pop_back();
-                const auto result = *rc::gen::element(AttemptResult::Answered,
-                                                      AttemptResult::Refused,
-                                                      AttemptResult::Broken);
+                const auto result = *rc::gen::element(
+                    AttemptResult::Answered, AttemptResult::Refused, AttemptResult::Broken);
                 take(router.finish(endpoint, result, Millis(5), now));
             }
             std::map<HostId, int> perHost;
--- /dev/null
+++ b/tests/support/fakeupstream.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <boost/asio.hpp>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace oleanderhall::test {
+
+/// A FakeUpstream accepts connections one after another on loopback, reads one request from each
+/// (or more, as the script says) and does with the socket what the script says.
+class FakeUpstream
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+    /// Gets the socket, the request's text and the number of the request, from 1.
+    using Script = std::function<bool(Socket &, const std::string &, int)>;
+
+    explicit FakeUpstream(Script script)
+        : m_script(std::move(script))
+        , m_acceptor(m_io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_thread([this] { run(); })
+    {}
+    ~FakeUpstream()
+    {
+        m_isStopping = true;
+        boost::system::error_code ignored;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_current)
+                m_current->shutdown(Socket::shutdown_both, ignored);
+        }
+        Socket wake(m_io);
+        wake.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+    }
+    FakeUpstream(const FakeUpstream &) = delete;
+    FakeUpstream &operator=(const FakeUpstream &) = delete;
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    int requests() const { return m_requests; }
+    int connections() const { return m_connections; }
+
+    static void send(Socket &socket, const std::string &text)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(socket, boost::asio::buffer(text), ignored);
+    }
+    static std::string answer(const std::string &body)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+
+private:
+    void run()
+    {
+        while (!m_isStopping) {
+            Socket socket(m_io);
+            boost::system::error_code failed;
+            m_acceptor.accept(socket, failed);
+            if (failed || m_isStopping)
+                return;
+            ++m_connections;
+            setCurrent(&socket);
+            bool goesOn = true;
+            while (goesOn) {
+                std::string text;
+                boost::asio::read_until(socket, boost::asio::dynamic_buffer(text), "\r\n\r\n",
+                                        failed);
+                if (failed)
+                    break;
+                goesOn = m_script(socket, text, ++m_requests);
+            }
+            setCurrent(nullptr);
+        }
+    }
+
+    void setCurrent(Socket *socket)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_current = socket;
+    }
+
+    Script m_script;
+    std::mutex m_mutex;
+    Socket *m_current = nullptr;
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_isStopping{false};
+    std::atomic<int> m_requests{0};
+    std::atomic<int> m_connections{0};
+    std::thread m_thread;
+};
+
+} // namespace oleanderhall::test
--- a/tests/support/fleetworld.h
+++ b/tests/support/fleetworld.h
@@ -17,15 +17,18 @@
 {
 public:
     /// With `checksHead` off, an entry is committed whatever the head is by then.
-    explicit FleetWorld(bool checksHead) : m_checksHead(checksHead)
+    explicit FleetWorld(bool checksHead)
+        : m_checksHead(checksHead)
     {
         for (const auto &[id, host] : m_config.hosts)
             workers[id] = {};
         for (int index = 0; index < 3; ++index)
             entries.push_back({EntryId("e" + std::to_string(index)),
-                               ZoneId("z" + std::to_string(index)), {}, false});
-        LogEntry first {.actor = EntryId("op"), .operation = "first", .reason = "first"};
-        first.changes.push_back(ConfigChange {{1}, difference(Register {}, m_config)});
+                               ZoneId("z" + std::to_string(index)),
+                               {},
+                               false});
+        LogEntry first{.actor = EntryId("op"), .operation = "first", .reason = "first"};
+        first.changes.push_back(ConfigChange{{1}, difference(Register{}, m_config)});
         commit(first);
         for (int index = 0; index < 2; ++index)
             deciders.emplace_back();
@@ -42,8 +45,8 @@
     {
         FleetState state;
         Observations seen;
-        PoolPlanner plannerA {PoolId("a")};
-        PoolPlanner plannerB {PoolId("b")};
+        PoolPlanner plannerA{PoolId("a")};
+        PoolPlanner plannerB{PoolId("b")};
         std::vector<std::pair<Sequence, PoolPlan>> plans;
     };
 
@@ -53,7 +56,7 @@
     std::vector<LogEntry> log;
     std::vector<std::string> violations;
     FleetState truth;
-    Instant now {std::chrono::hours(1)};
+    Instant now{std::chrono::hours(1)};
 
     void sync(Decider &decider)
     {
@@ -65,8 +68,8 @@
     {
         decider.seen.hosts.clear();
         for (const auto &[id, worker] : workers) {
-            HostObservation seen {.health = worker.isUp ? Health::Fit : Health::Unfit,
-                                  .seenAt = decider.state.sequence()};
+            HostObservation seen{.health = worker.isUp ? Health::Fit : Health::Unfit,
+                                 .seenAt = decider.state.sequence()};
             seen.workerEpoch = worker.epoch;
             seen.bootEpoch = worker.bootEpoch;
             seen.running = worker.running;
@@ -92,11 +95,11 @@
                 obey(command);
             if (plan.changes.empty())
                 continue;
-            LogEntry entry {.sequence = sequence.next(),
-                            .actor = EntryId("decider"),
-                            .operation = "o",
-                            .reason = plan.reason,
-                            .changes = plan.changes};
+            LogEntry entry{.sequence = sequence.next(),
+                           .actor = EntryId("decider"),
+                           .operation = "o",
+                           .reason = plan.reason,
+                           .changes = plan.changes};
             if (entry.sequence == truth.sequence().next())
                 commit(entry);
             else if (!m_checksHead)
@@ -108,7 +111,7 @@
     /// Commits an operator's change on the newest state.
     void operate(const Change &change)
     {
-        LogEntry entry {.actor = EntryId("op"), .operation = "op", .reason = "operator"};
+        LogEntry entry{.actor = EntryId("op"), .operation = "op", .reason = "operator"};
         entry.changes.push_back(change);
         commit(entry);
     }
--- a/tests/support/registers.h
+++ b/tests/support/registers.h
@@ -13,24 +13,22 @@
         for (int index = 0; index < 6; ++index) {
             const std::string zone = "z" + std::to_string(index % 3);
             const int number = (pool == "a" ? 0 : 100) + index + 1;
-            HostSpec spec {.id = HostId(pool + std::to_string(index)),
-                           .zone = ZoneId(zone),
-                           .rack = RackId(zone + "-r" + std::to_string(index / 3)),
-                           .pool = PoolId(pool),
-                           .address = "127.0.0." + std::to_string(number),
-                           .cores = 64,
-                           .memoryGb = 128};
+            HostSpec spec{.id = HostId(pool + std::to_string(index)),
+                          .zone = ZoneId(zone),
+                          .rack = RackId(zone + "-r" + std::to_string(index / 3)),
+                          .pool = PoolId(pool),
+                          .address = "127.0.0." + std::to_string(number),
+                          .cores = 64,
+                          .memoryGb = 128};
             result.hosts.emplace(spec.id, spec);
         }
-        PoolRule rule {.id = PoolId(pool),
-                       .minAvailable = 4,
-                       .maxUnavailable = 2,
-                       .maxDisruptedRacks = 2};
+        PoolRule rule{
+            .id = PoolId(pool), .minAvailable = 4, .maxUnavailable = 2, .maxDisruptedRacks = 2};
         result.pools.emplace(rule.id, rule);
-        ServiceRule service {.id = ServiceId(pool == "a" ? "alpha" : "beta"),
-                             .pool = PoolId(pool),
-                             .instances = 4,
-                             .port = static_cast<std::uint16_t>(pool == "a" ? 7001 : 7002)};
+        ServiceRule service{.id = ServiceId(pool == "a" ? "alpha" : "beta"),
+                            .pool = PoolId(pool),
+                            .instances = 4,
+                            .port = static_cast<std::uint16_t>(pool == "a" ? 7001 : 7002)};
         result.services.emplace(service.id, service);
     }
     result.wave.returnTimeout = Millis(20000);
