Cut the control traffic: reuse connections for reads, rest when nothing changes

Cause: an entry host read the head four times a second and its members once, each on a new connection, and polled each steady worker every 2 s; worked out from message sizes that was about 11 KB a second (a trial on paper) against a bound of 6 KB.

Change: reads without effect keep a connection for each thread and give it up after any failure; writes still have one of their own. Steps come every second when nothing changes, every 250 ms within 3 s of a change. An entry host that owes an acknowledgement of a drain sends it at once, and who waits for it reads it at each step.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -20,14 +20,16 @@
 constexpr int kMaxCommitTries = 20;
 constexpr int kMaxHeadReads = 3;
 constexpr int kWatcherThreads = 2;
-constexpr Millis kShortestHeartbeat{1000};
+constexpr Millis kShortestHeartbeat{2000};
 constexpr Millis kHeartbeatPerMember{20}; // keeps the table's writes below 50 a second
-constexpr Millis kShortestMemberRead{1000};
+constexpr Millis kShortestMemberRead{2000};
 constexpr Millis kMemberReadPerMember{50}; // keeps the bytes of a read below 4 KB a second
-constexpr Millis kHostListPeriod{2000};
-constexpr Millis kMemberLapse{5000};
+constexpr Millis kHostListPeriod{5000};
+constexpr Millis kMemberLapse{8000};
 constexpr Millis kMemberLapsePerMember{110}; // three heartbeats and a read
 constexpr Millis kMemberSilence{15000};
+constexpr Millis kIdleTick{1000}; // still four reads of the head within the time to adopt
+constexpr Millis kBusyAfterChange{3000};
 constexpr Millis kOldestDecision{1000};
 constexpr const char *kMemberPartition = "entry";
 
@@ -60,6 +62,14 @@
     });
 }
 
+bool startsDrain(const LogEntry &entry)
+{
+    return std::any_of(entry.changes.begin(), entry.changes.end(), [](const Change &change) {
+        const auto *host = std::get_if<HostChange>(&change);
+        return host && host->record.state == HostState::Draining;
+    });
+}
+
 } // namespace
 
 Controller::Controller(const Settings &settings, DynamoTable &table, RouteTable &routes,
@@ -105,6 +115,7 @@
 void Controller::stop()
 {
     m_isStopping = true;
+    m_sleep.wake();
     if (!m_thread.joinable())
         return;
     m_thread.join();
@@ -145,6 +156,7 @@
 
 std::optional<Sequence> Controller::commit(const Proposer &propose)
 {
+    m_sleep.wake();
     const std::lock_guard lock(m_stepMutex);
     bool isUnknown = false;
     for (int tries = 0; tries < kMaxCommitTries; ++tries) {
@@ -200,7 +212,9 @@
             m_metrics.count("control_steps_failed_total");
             logWarning("control_step_failed", {{"error", error.what()}});
         }
-        std::this_thread::sleep_until(started + m_settings.tick);
+        const bool isBusy = timeNow() - m_lastActivity < kBusyAfterChange;
+        const Millis period = isBusy ? m_settings.tick : std::max(m_settings.tick, kIdleTick);
+        m_sleep.sleepUntil(started + period);
     }
 }
 
@@ -311,6 +325,9 @@
         const std::unique_lock lock(m_stateMutex);
         if (!m_state.apply(entry))
             return false;
+        m_lastActivity = timeNow();
+        if (startsDrain(entry))
+            m_latestDrain = entry.sequence;
         m_recent.emplace_back(entry.sequence, toJson(entry).serialize());
         if (m_recent.size() > kMaxRecentEntries)
             m_recent.pop_front();
@@ -328,7 +345,9 @@
 
 void Controller::heartbeat(Instant now)
 {
-    if (now < m_nextHeartbeat)
+    // Those who drain a host wait until everyone has seen it, so that is said at once.
+    const bool owesAcknowledgement = m_row.acknowledged < m_latestDrain;
+    if (now < m_nextHeartbeat && !owesAcknowledgement)
         return;
     const auto members = static_cast<Millis::rep>(m_members.size());
     m_nextHeartbeat = now + std::max(kShortestHeartbeat, kHeartbeatPerMember * members);
@@ -348,7 +367,7 @@
 
 void Controller::readMembers(Instant now)
 {
-    if (now < m_nextMemberRead)
+    if (now < m_nextMemberRead && !m_awaitsAcknowledgements)
         return;
     const auto members = static_cast<Millis::rep>(m_members.size());
     m_nextMemberRead = now + std::max(kShortestMemberRead, kMemberReadPerMember * members);
@@ -478,6 +497,7 @@
 void Controller::watchHosts(const std::vector<PoolId> &pools)
 {
     std::map<HostId, bool> hosts;
+    bool isDraining = false;
     for (const PoolId pool : pools) {
         for (const HostId host : m_state.hostsOf(pool)) {
             const HostRecord &record = *m_state.record(host);
@@ -486,9 +506,15 @@
                                [](const InstanceRecord &instance) {
                                    return instance.state == InstanceState::Ready;
                                });
+            isDraining = isDraining || record.state == HostState::Draining;
+            if (!isSteady && record.state != HostState::Failed)
+                m_lastActivity = timeNow();
             hosts.emplace(host, !isSteady);
         }
     }
+    m_awaitsAcknowledgements = isDraining;
+    if (isDraining)
+        m_lastActivity = timeNow();
     m_watcher.watch(hosts);
 }
 
--- a/src/daemon/controller.h
+++ b/src/daemon/controller.h
@@ -2,6 +2,7 @@
 
 #include "hostwatcher.h"
 #include "settings.h"
+#include "wakeup.h"
 
 #include "oleanderhall/fleet/fleetstate.h"
 #include "oleanderhall/fleet/poolplanner.h"
@@ -108,6 +109,10 @@
     MemberRow m_row;
     HostList m_hostList;
     bool m_hasHostList = false;
+    Sequence m_latestDrain; ///< The newest entry that drains a host.
+    bool m_awaitsAcknowledgements = false; ///< A host of an owned pool drains.
+    Instant m_lastActivity;
+    Wakeup m_sleep;
     Instant m_nextHeartbeat;
     Instant m_nextMemberRead;
     Instant m_nextHostList;
--- a/src/daemon/hostwatcher.cpp
+++ b/src/daemon/hostwatcher.cpp
@@ -8,7 +8,7 @@
 
 constexpr Millis kOftenPeriod{200};
 constexpr Millis kShortestSteadyPeriod{2000};
-constexpr Millis kPollSpacing{100}; // between polls of steady hosts, so that cost has a limit
+constexpr Millis kPollSpacing{500}; // between polls of steady hosts, so that cost has a limit
 constexpr int kPeriodsUntilExpiry = 4;
 constexpr Millis kLongestIdle{100};
 constexpr int kFailuresUntilUnfit = 2;
--- a/src/platform/httpcall.cpp
+++ b/src/platform/httpcall.cpp
@@ -4,10 +4,14 @@
 
 #include <cpprest/http_client.h>
 
+#include <map>
+#include <memory>
 #include <system_error>
 
 namespace oleanderhall {
 
+using web::http::client::http_client;
+
 namespace {
 
 constexpr int kOk = 200;
@@ -18,40 +22,66 @@
         || code == std::errc::network_unreachable;
 }
 
-} // namespace
+std::string authorityOf(const std::string &url)
+{
+    const web::uri parsed(url);
+    return parsed.scheme() + "://" + parsed.host() + ":" + std::to_string(parsed.port());
+}
 
-HttpAnswer callPlatform(const HttpCall &call)
+std::unique_ptr<http_client> clientFor(const HttpCall &call)
 {
     web::http::client::http_client_config config;
     config.set_timeout(call.timeout);
     try {
-        web::http::client::http_client client(web::uri(call.url), config);
+        return std::make_unique<http_client>(web::uri(authorityOf(call.url)), config);
+    } catch (const std::exception &error) {
+        throw PlatformUnavailable(call.url + ": " + error.what());
+    }
+}
+
+HttpAnswer callThrough(const std::unique_ptr<http_client> &client, const HttpCall &call)
+{
+    try {
         web::http::http_request request(call.method);
+        request.set_request_uri(web::uri(call.url).resource());
         for (const auto &[name, value] : call.headers)
             request.headers().add(name, value);
         if (call.body)
             request.set_body(*call.body, "application/x-amz-json-1.0");
-        web::http::http_response response = client.request(request).get();
+        web::http::http_response response = client->request(request).get();
         return {response.status_code(), response.extract_utf8string(true).get()};
     } catch (const web::http::http_exception &error) {
         const std::string what = call.method + " " + call.url + ": " + error.what();
         if (wasNothingSent(error.error_code()))
             throw PlatformUnavailable(what);
         throw OutcomeUnknown(what);
-    } catch (const web::uri_exception &error) {
-        throw PlatformUnavailable(call.url + ": " + error.what());
     }
 }
 
+} // namespace
+
+HttpAnswer callPlatform(const HttpCall &call)
+{
+    return callThrough(clientFor(call), call);
+}
+
 std::string fetchFromPlatform(const HttpCall &call)
 {
+    thread_local std::map<std::string, std::unique_ptr<http_client>> clients;
+    std::unique_ptr<http_client> &client = clients[authorityOf(call.url)];
     try {
-        HttpAnswer answer = callPlatform(call);
+        if (!client)
+            client = clientFor(call);
+        HttpAnswer answer = callThrough(client, call);
         if (answer.status != kOk)
             throw PlatformUnavailable(call.url + ": status " + std::to_string(answer.status));
         return std::move(answer.body);
     } catch (const OutcomeUnknown &error) {
+        client.reset();
         throw PlatformUnavailable(error.what());
+    } catch (const PlatformUnavailable &) {
+        client.reset();
+        throw;
     }
 }
 
--- a/src/platform/httpcall.h
+++ b/src/platform/httpcall.h
@@ -29,8 +29,10 @@
 /// sent, OutcomeUnknown when something may have been.
 HttpAnswer callPlatform(const HttpCall &call);
 
-/// Internal: calls by a method without effect, for which an unknown outcome is a plain failure.
-/// Throws PlatformUnavailable unless the answer has status 200.
+/// Internal: makes a call without effect, for which an unknown outcome is a plain failure and which
+/// may be sent twice. Each thread keeps its connections for such calls; they are given up after any
+/// failure, so that one gone silent costs one call. Throws PlatformUnavailable unless the answer
+/// has status 200.
 std::string fetchFromPlatform(const HttpCall &call);
 
 } // namespace oleanderhall
--- a/src/platform/httpobjectstore.cpp
+++ b/src/platform/httpobjectstore.cpp
@@ -13,11 +13,18 @@
 
 void HttpObjectStore::put(const std::string &key, const std::string &data)
 {
-    fetchFromPlatform({.method = "PUT",
-                       .url = m_address + "/" + key,
-                       .headers = {},
-                       .body = data,
-                       .timeout = m_timeout});
+    try {
+        const HttpAnswer answer = callPlatform({.method = "PUT",
+                                                .url = m_address + "/" + key,
+                                                .headers = {},
+                                                .body = data,
+                                                .timeout = m_timeout});
+        constexpr int kOk = 200;
+        if (answer.status != kOk)
+            throw PlatformUnavailable("the store answered status " + std::to_string(answer.status));
+    } catch (const OutcomeUnknown &error) {
+        throw PlatformUnavailable(error.what()); // An object that nothing names does no harm.
+    }
 }
 
 std::string HttpObjectStore::fetch(const std::string &key)
--- a/src/platform/workerclient.cpp
+++ b/src/platform/workerclient.cpp
@@ -60,11 +60,15 @@
 void WorkerClient::send(const WorkerCommand &command, const std::string &body)
 {
     const bool isReboot = command.kind == WorkerCommand::Kind::Reboot;
-    fetchFromPlatform({.method = isReboot ? "POST" : "PUT",
-                       .url = urlOf(command.host) + (isReboot ? "/reboot" : "/tasks"),
-                       .headers = {},
-                       .body = body,
-                       .timeout = m_timeout});
+    const HttpAnswer answer = callPlatform(
+        {.method = isReboot ? "POST" : "PUT",
+         .url = urlOf(command.host) + (isReboot ? "/reboot" : "/tasks"),
+         .headers = {},
+         .body = body,
+         .timeout = m_timeout});
+    constexpr int kOk = 200;
+    if (answer.status != kOk)
+        throw PlatformUnavailable("the worker answered status " + std::to_string(answer.status));
 }
 
 HostObservation WorkerClient::observe(HostId host)
