Refuse unrepeatable requests at once while the table is away; prove a zone cut

Cause: in the new scenario zone-cut (a relay cuts one entry host off from the platform and its peers) unrepeatable requests were refused truthfully, but only at their deadline: each waited for the table and held a slot meanwhile.

Change: an outage gate lets one claim through every 500 ms while the table is away and turns the others down at once; no claim waits over 1 s.

Also: an advertised peer address, the relay stand-in, and 'plan' joined over all entry hosts named, since only the owner of a pool knows why its hosts wait.

--- a/apps/cli/entryclient.cpp
+++ b/apps/cli/entryclient.cpp
@@ -2,6 +2,7 @@
 
 #include <cpprest/http_client.h>
 
+#include <map>
 #include <stdexcept>
 
 namespace cli {
@@ -59,6 +60,37 @@
     return last;
 }
 
+EntryAnswer EntryClient::getJoined(const std::string &path, const std::string &key,
+                                   const std::string &id, const std::string &preferred) const
+{
+    EntryAnswer joined;
+    std::map<std::string, web::json::value> elements;
+    for (const std::string &url : m_urls) {
+        EntryAnswer answer;
+        try {
+            answer = getFrom(url, path);
+        } catch (const std::exception &) {
+            continue;
+        }
+        joined.status = answer.status;
+        if (answer.status != kStatusOk)
+            return answer;
+        for (const web::json::value &element : answer.body.at(key).as_array()) {
+            const std::string name = element.at(id).as_string();
+            if (!elements.contains(name) || element.has_field(preferred))
+                elements[name] = element;
+        }
+    }
+    if (joined.status == 0)
+        throw std::runtime_error("no entry host answered");
+    web::json::value array = web::json::value::array(elements.size());
+    std::size_t index = 0;
+    for (const auto &[name, element] : elements)
+        array[index++] = element;
+    joined.body[key] = array;
+    return joined;
+}
+
 EntryAnswer EntryClient::post(const std::string &path, const web::json::value &body,
                               bool isDryRun) const
 {
--- a/apps/cli/entryclient.h
+++ b/apps/cli/entryclient.h
@@ -26,6 +26,11 @@
     EntryAnswer get(const std::string &path) const;
     /// Asks all entry hosts and returns the first answer with status 200, else the last one.
     EntryAnswer getFromAny(const std::string &path) const;
+    /// Asks all entry hosts and joins the array `key` of their answers, one element for each `id`;
+    /// an element that has the member `preferred` goes first. Each entry host knows only why hosts
+    /// of its own pools wait.
+    EntryAnswer getJoined(const std::string &path, const std::string &key, const std::string &id,
+                          const std::string &preferred) const;
     EntryAnswer post(const std::string &path, const web::json::value &body, bool isDryRun) const;
 
 private:
--- a/apps/cli/main.cpp
+++ b/apps/cli/main.cpp
@@ -162,7 +162,8 @@
     });
     app.add_subcommand("plan", "Show which hosts change and which wait, and why")->callback([&] {
         run = [&](const EntryClient &client) {
-            return show(client.get("/v1/plan"), arguments, printPlan);
+            return show(client.getJoined("/v1/plan", "steps", "host", "waiting"), arguments,
+                        printPlan);
         };
     });
     CLI::App *wave = app.add_subcommand("wave", "Start, pause, resume or stop a maintenance wave");
--- a/bench/slopes/main.cpp
+++ b/bench/slopes/main.cpp
@@ -139,6 +139,7 @@
     const double decideUs = microsecondsOf(
         kRepeats, [&](int) { planner.decide(state, seen, std::chrono::steady_clock::now()); });
     std::vector<EntryId> live;
+    live.reserve(static_cast<std::size_t>(size.zones) * 2);
     for (int entry = 0; entry < size.zones * 2; ++entry)
         live.push_back(EntryId("entry-" + std::to_string(entry)));
     const double ownersUs = microsecondsOf(kRepeats, [&](int) {
--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -47,13 +47,32 @@
 oh_start_entry() {
     local i="$1" seeds=() j
     for j in $(seq 1 $OH_ENTRIES); do
-        [ "$j" = "$i" ] || seeds+=(--seed "127.$OH_NET.0.$j:8082")
+        [ "$j" = "$i" ] || seeds+=(--seed "127.$OH_NET.${OH_PEER_NET:-0}.$j:8082")
     done
+    local platform="$OH_PLATFORM" workers="$OH_WORKERS"
+    if [ "$i" = "${OH_BEHIND_RELAY:-0}" ]; then
+        platform="http://127.$OH_NET.2.1:9000"
+        workers="http://127.$OH_NET.2.1:9001"
+    fi
     oh_start "entry-$i" "$OH_BUILD/oleanderhalld" --id "entry-$i" --zone "${OH_ZONES[$((i - 1))]}" \
         --callers "127.$OH_NET.0.$i:8080" --operators "127.$OH_NET.0.$i:8081" \
-        --peers "127.$OH_NET.0.$i:8082" "${seeds[@]}" --table "$OH_PLATFORM/" \
-        --objects "$OH_PLATFORM/objects" --host-list "$OH_PLATFORM/hosts" \
-        --workers "$OH_WORKERS/workers" ${OH_FLAGS:-}
+        --peers "127.$OH_NET.0.$i:8082" "${seeds[@]}" --table "$platform/" \
+        --objects "$platform/objects" --host-list "$platform/hosts" \
+        --workers "$workers/workers" --advertise "127.$OH_NET.${OH_PEER_NET:-0}.$i:8082" \
+        ${OH_FLAGS:-}
+}
+
+# Puts a relay between entry host $1 and the platform, and between all entry hosts: signal USR1 to
+# "relay" cuts the entry host off from the platform and its peers, USR2 mends it.
+oh_start_relay() {
+    local pairs=("127.$OH_NET.2.1:9000=127.0.0.1:$OH_PORT"
+        "127.$OH_NET.2.1:9001=127.0.0.1:$((OH_PORT + 1))") i
+    for i in $(seq 1 $OH_ENTRIES); do
+        pairs+=("127.$OH_NET.1.$i:8082=127.$OH_NET.0.$i:8082")
+    done
+    oh_start relay "$OH_BUILD/oleanderhall-relay" "${pairs[@]}"
+    OH_BEHIND_RELAY="$1"
+    OH_PEER_NET=1
 }
 
 # Waits until a URL answers with success, at most 20 s.
@@ -80,6 +99,11 @@
 }
 
 oh_cli() { "$OH_BUILD/oleanderhall" --entry "$(oh_operators "${OH_AT:-1}")" "$@"; }
+oh_cli_all() {
+    local entries=() i
+    for i in $(seq 1 $OH_ENTRIES); do entries+=(--entry "$(oh_operators "$i")"); done
+    "$OH_BUILD/oleanderhall" "${entries[@]}" "$@"
+}
 oh_apply() {
     oh_cli apply --register "samples/$OH_SAMPLE/register.json" --rules "samples/$OH_SAMPLE/rules.json"
 }
@@ -103,6 +127,7 @@
     mkdir -p "$OH_RUN"
     rm -f "$OH_RUN"/*.pid "$OH_RUN"/*.log
     oh_start_platform
+    [ -z "${OH_RELAYED:-}" ] || oh_start_relay "$OH_RELAYED"
     local i
     for i in $(seq 1 $OH_ENTRIES); do oh_start_entry "$i"; done
     for i in $(seq 1 $OH_ENTRIES); do oh_wait_for "$(oh_operators "$i")/livez"; done
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -93,7 +93,7 @@
 {
     m_row = {.id = settings.id,
              .zone = settings.zone,
-             .peerAddress = settings.peers.text(),
+             .peerAddress = settings.advertised.text(),
              .incarnation = std::to_string(m_random()) + "-" + std::to_string(m_random())};
 }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -20,6 +20,7 @@
     std::string callers;
     std::string operators;
     std::string peers;
+    std::string advertised;
     std::vector<std::string> seeds;
     int tickMs = 250;
     int viewLeaseMs = 3000;
@@ -47,6 +48,7 @@
     text("--callers", raw.callers, "IP:PORT on which callers are served");
     text("--operators", raw.operators, "IP:PORT on which operators are served");
     text("--peers", raw.peers, "IP:PORT on which other entry hosts are served");
+    text("--advertise", raw.advertised, "IP:PORT at which other entry hosts reach --peers");
     app.add_option("--seed", raw.seeds, "IP:PORT of another entry host; may be repeated")
         ->envname("OLEANDERHALL_SEED")
         ->delimiter(',');
@@ -116,6 +118,9 @@
     settings.callers = parseSocketAddress(raw.callers, "--callers", findings);
     settings.operators = parseSocketAddress(raw.operators, "--operators", findings);
     settings.peers = parseSocketAddress(raw.peers, "--peers", findings);
+    settings.advertised = raw.advertised.empty()
+        ? settings.peers
+        : parseSocketAddress(raw.advertised, "--advertise", findings);
     for (const std::string &seed : raw.seeds)
         settings.seeds.push_back(parseSocketAddress(seed, "--seed", findings));
     checkUrl(settings.tableUrl, "--table", findings);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -28,6 +28,7 @@
     SocketAddress callers;
     SocketAddress operators;
     SocketAddress peers;
+    SocketAddress advertised; ///< Where other entry hosts reach `peers`.
     std::vector<SocketAddress> seeds; ///< Other entry hosts to ask while the platform is away.
     std::string tableUrl;
     std::string objectsUrl;
--- a/src/http/claimservice.cpp
+++ b/src/http/claimservice.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <random>
 #include <set>
@@ -19,6 +20,8 @@
 constexpr int kEndingTries = 60;
 constexpr int kReleaseTries = 5;
 constexpr Millis kEndingRetryDelay{1000};
+constexpr Millis kLongestClaim{1000}; // a request waits no longer for the table
+constexpr Millis kOutageProbePeriod{500};
 constexpr std::size_t kMaxKeptBody = 4096; // bytes of an answer kept for repetitions
 
 std::string hashOf(const std::string &text)
@@ -31,10 +34,16 @@
     return digits;
 }
 
+Refusal claimsUnavailable()
+{
+    return {RefusalReason::ClaimsUnavailable, Ran::No, Millis(1000)};
+}
+
 } // namespace
 
 ClaimService::ClaimService(DynamoTable &table)
     : m_ledger(table)
+    , m_outage(kOutageProbePeriod)
 {
     std::random_device seed;
     m_tokenPrefix = std::to_string(seed()) + "-" + std::to_string(seed());
@@ -58,18 +67,23 @@
 boost::asio::awaitable<ClaimOutcome> ClaimService::claim(std::string service, std::string key,
                                                          std::string body, Instant deadline)
 {
+    const Refusal unavailable = claimsUnavailable();
+    const Instant now = std::chrono::steady_clock::now();
     const auto executor = co_await boost::asio::this_coro::executor;
     auto result = std::make_shared<OneShot<ClaimOutcome>>(executor);
     {
         const std::lock_guard lock(m_mutex);
+        if (!m_outage.mayTry(now))
+            co_return unavailable;
         ClaimRequest request{{"claim-" + service, std::move(key)}, hashOf(body), newToken()};
         m_pending.push_back({std::move(request), result});
     }
     m_claimsChanged.notify_one();
-    std::optional<ClaimOutcome> outcome = co_await result->wait(deadline);
+    std::optional<ClaimOutcome> outcome = co_await result->wait(
+        std::min(deadline, now + kLongestClaim));
     if (outcome)
         co_return std::move(*outcome);
-    co_return Refusal{RefusalReason::ClaimsUnavailable, Ran::No, Millis(1000)};
+    co_return unavailable;
 }
 
 void ClaimService::settle(const ClaimHandle &handle, ClaimRecord record)
@@ -118,9 +132,9 @@
     try {
         outcomes = m_ledger.claim(requests);
     } catch (const std::exception &) {
-        const Refusal refusal{RefusalReason::ClaimsUnavailable, Ran::No, Millis(1000)};
-        outcomes.assign(batch.size(), refusal);
+        outcomes.assign(batch.size(), claimsUnavailable());
     }
+    noteOutcome(outcomes);
     for (std::size_t index = 0; index < batch.size(); ++index) {
         const auto *refusal = std::get_if<Refusal>(&outcomes[index]);
         const bool mayStillLand = refusal && refusal->reason == RefusalReason::ClaimsUnavailable;
@@ -137,6 +151,19 @@
     }
 }
 
+void ClaimService::noteOutcome(const std::vector<ClaimOutcome> &outcomes)
+{
+    const bool isAway = std::all_of(outcomes.begin(), outcomes.end(), [](const auto &outcome) {
+        const auto *refusal = std::get_if<Refusal>(&outcome);
+        return refusal && refusal->reason == RefusalReason::ClaimsUnavailable;
+    });
+    const std::lock_guard lock(m_mutex);
+    if (isAway)
+        m_outage.failed(std::chrono::steady_clock::now());
+    else
+        m_outage.succeeded();
+}
+
 void ClaimService::endingLoop()
 {
     std::unique_lock lock(m_mutex);
--- a/src/http/claimservice.h
+++ b/src/http/claimservice.h
@@ -6,6 +6,7 @@
 
 #include "oleanderhall/platform/dynamotable.h"
 #include "oleanderhall/routing/claimledger.h"
+#include "oleanderhall/routing/outagegate.h"
 
 #include <condition_variable>
 #include <deque>
@@ -55,6 +56,7 @@
     void runBatch(const std::vector<Pending> &batch);
     bool runEnding(const Ending &ending);
     void addEnding(Ending ending);
+    void noteOutcome(const std::vector<ClaimOutcome> &outcomes);
     std::string newToken();
 
     ClaimLedger<DynamoTable> m_ledger;
@@ -62,6 +64,7 @@
     std::mutex m_mutex;
     std::condition_variable m_claimsChanged;
     std::condition_variable m_endingsChanged;
+    OutageGate m_outage;
     bool m_isStopping = false;
     std::uint64_t m_lastToken = 0;
     std::deque<Pending> m_pending;
--- a/standin/workers/main.cpp
+++ b/standin/workers/main.cpp
@@ -110,6 +110,7 @@
     boost::asio::io_context io;
     const auto work = boost::asio::make_work_guard(io);
     std::vector<std::jthread> threads;
+    threads.reserve(standin::kInstanceThreads);
     for (int index = 0; index < standin::kInstanceThreads; ++index)
         threads.emplace_back([&io] { io.run(); });
     standin::WorkerFleet fleet(io, std::chrono::milliseconds(rebootMs));
--- a/tests/processes/failures.sh
+++ b/tests/processes/failures.sh
@@ -10,12 +10,13 @@
 rm -f "$OH_RUN"/*.history
 trap oh_stop_all EXIT
 trap 'exit 1' INT TERM
+[ "$scenario" != zone-cut ] || OH_RELAYED=7
 oh_start_all >"$OH_RUN/start.txt" || exit 1
 
 load() {
     local name="$1" seconds="$2" entries=() i
     shift 2
-    for i in $(seq 1 $OH_ENTRIES); do entries+=(--entry "$(oh_callers "$i")"); done
+    for i in ${OH_ONLY:-$(seq 1 $OH_ENTRIES)}; do entries+=(--entry "$(oh_callers "$i")"); done
     "$OH_BUILD/oleanderhall-load" run "${entries[@]}" --register "samples/$OH_SAMPLE/register.json" \
         --rules "samples/$OH_SAMPLE/rules.json" --history "$OH_RUN/$name.history" \
         --rate 200 --seconds "$seconds" --twins 20 --seed 7 ${@:---unrepeatable 50} \
@@ -96,6 +97,26 @@
     [ "$answered" -ge 1590 ] || fail "only $answered of 1600 repeatable requests were answered"
     oh_fault_platform '{"mode":"none"}'
     ;;
+zone-cut) # zone bkk-d, with entry-7, is cut off from the platform and from the other zones
+    oh_signal relay USR1
+    sleep 9
+    oh_cli wave start renewal >/dev/null
+    answered() { awk -v s="$2" '$8 == s' "$OH_RUN/$1.history" | wc -l; }
+    OH_ONLY=7 load a 8 --work-ms 5 --unrepeatable 0 --tries 1
+    wait $load_pid
+    [ "$(answered a 200)" -ge 1590 ] || fail "the zone answered $(answered a 200) of 1600"
+    OH_ONLY=7 load cut 4 --work-ms 5 --unrepeatable 100 --tries 1
+    wait $load_pid
+    grep -E "refused|latency of refusals" "$OH_RUN/cut.txt"
+    held_back() { oh_cli_all plan | grep -q "^bkk-d.*acknowledges nothing"; }
+    oh_wait_until 60 held_back || fail "no host of the zone was held back"
+    drained=$(oh_cli_all --json plan | grep -o '"host":"bkk-d[^}]*"state":"draining"' | wc -l)
+    [ "$drained" = 0 ] || fail "a host of the zone that is cut off was drained"
+    oh_signal relay USR2
+    oh_wait_until 90 oh_wave_done renewal || fail "the wave did not end after the cut"
+    load b 4 --work-ms 5 --unrepeatable 50
+    wait $load_pid
+    ;;
 adoption) # versions accepted one after another are in force everywhere; the time is printed, not judged
     for version in 2 3 4 5; do
         pool=$([ $((version % 2)) = 0 ] && echo portal || echo medical)
@@ -115,6 +136,8 @@
 esac
 
 cat "$OH_RUN"/a.txt
-"$OH_BUILD/oleanderhall-load" check --history "$OH_RUN/a.history" --platform "$OH_PLATFORM" \
+histories=()
+for file in "$OH_RUN"/*.history; do histories+=(--history "$file"); done
+"$OH_BUILD/oleanderhall-load" check "${histories[@]}" --platform "$OH_PLATFORM" \
     --workers "$OH_WORKERS" --untimed || result=1
 exit "${result:-0}"
