--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -23,10 +23,11 @@
 constexpr Millis kShortestHeartbeat{2000};
 constexpr Millis kHeartbeatPerMember{20}; // keeps the table's writes below 50 a second
 constexpr Millis kShortestMemberRead{2000};
-constexpr Millis kMemberReadPerMember{50}; // keeps the bytes of a read below 4 KB a second
+constexpr Millis kMemberReadPerMember{150}; // keeps the bytes of a read below 2 KB a second
+constexpr Millis kAwaitingMemberReadPerMember{30};
 constexpr Millis kHostListPeriod{5000};
 constexpr Millis kMemberLapse{8000};
-constexpr Millis kMemberLapsePerMember{110}; // three heartbeats and a read
+constexpr Millis kMemberLapsePerMember{210}; // three heartbeats and a read
 constexpr Millis kMemberSilence{15000};
 constexpr Millis kIdleTick{1000}; // still four reads of the head within the time to adopt
 constexpr Millis kBusyAfterChange{3000};
@@ -325,9 +326,10 @@
         const std::unique_lock lock(m_stateMutex);
         if (!m_state.apply(entry))
             return false;
-        m_lastActivity = timeNow();
-        if (startsDrain(entry))
+        if (startsDrain(entry)) {
             m_latestDrain = entry.sequence;
+            m_lastActivity = timeNow();
+        }
         m_recent.emplace_back(entry.sequence, toJson(entry).serialize());
         if (m_recent.size() > kMaxRecentEntries)
             m_recent.pop_front();
@@ -367,10 +369,13 @@
 
 void Controller::readMembers(Instant now)
 {
-    if (now < m_nextMemberRead && !m_awaitsAcknowledgements)
+    if (now < m_nextMemberRead)
         return;
     const auto members = static_cast<Millis::rep>(m_members.size());
-    m_nextMemberRead = now + std::max(kShortestMemberRead, kMemberReadPerMember * members);
+    m_nextMemberRead = now
+        + (m_awaitsAcknowledgements
+               ? kAwaitingMemberReadPerMember * members
+               : std::max(kShortestMemberRead, kMemberReadPerMember * members));
     const Sequence seenAt = m_state.sequence();
     std::vector<MemberRow> rows;
     try {
@@ -512,6 +517,8 @@
             hosts.emplace(host, !isSteady);
         }
     }
+    if (isDraining && !m_awaitsAcknowledgements)
+        m_nextMemberRead = {};
     m_awaitsAcknowledgements = isDraining;
     if (isDraining)
         m_lastActivity = timeNow();
--- a/tests/processes/failures.sh
+++ b/tests/processes/failures.sh
@@ -117,6 +117,49 @@
     load b 4 --work-ms 5 --unrepeatable 50
     wait $load_pid
     ;;
+stop) # planned stops: two at once, all but one of a zone, with slow upstreams and the table down
+    OH_AT=7
+    stopped() {
+        local code=0
+        wait "$(oh_pid "$1")" || code=$?
+        rm -f "$OH_RUN/$1.pid"
+        [ "$code" = 0 ] || fail "$1 ended with $code"
+    }
+    load a 14 --work-ms 300 --unrepeatable 30
+    sleep 2
+    oh_signal entry-1 TERM
+    oh_signal entry-3 TERM
+    stopped entry-1
+    stopped entry-3
+    oh_fault_platform '{"mode":"down"}'
+    sleep 1
+    oh_signal entry-5 TERM
+    stopped entry-5
+    oh_fault_platform '{"mode":"none"}'
+    wait $load_pid
+    cut=$(awk '$8 == 0' "$OH_RUN/a.history" | wc -l)
+    [ "$cut" = 0 ] || fail "$cut requests got no answer"
+    ;;
+host-loss) # a rack and then a zone are lost in a wave, a host leaves, an owner is killed in a drain
+    OH_AT=7
+    oh_cli wave start renewal >/dev/null
+    load a 20 --work-ms 5 --unrepeatable 30
+    sleep 1
+    for host in 01 02 03 04; do oh_fault_worker "bkk-a-h$host" dead; done
+    sleep 3
+    oh_list bkk-c-h07 leaving
+    oh_signal entry-2 KILL
+    sleep 3
+    for host in 01 02 03 04 05 06 07 08 09 10 11 12; do oh_fault_worker "bkk-d-h$host" dead; done
+    sleep 6
+    for host in 01 02 03 04; do oh_fault_worker "bkk-a-h$host" none; done
+    for host in 01 02 03 04 05 06 07 08 09 10 11 12; do oh_fault_worker "bkk-d-h$host" none; done
+    oh_list bkk-c-h07 live
+    oh_list entry-2 gone
+    wait $load_pid
+    oh_wait_until 150 oh_wave_done renewal || fail "the wave did not end"
+    oh_wait_until 60 oh_settled || fail "the fleet did not recover"
+    ;;
 adoption) # versions accepted one after another are in force everywhere; the time is printed, not judged
     for version in 2 3 4 5; do
         pool=$([ $((version % 2)) = 0 ] && echo portal || echo medical)
