Let tries and waits run as long as an answer takes

Cause: under overload a request that had waited got half of its remaining time for its try, often less than the work itself takes; the try was cut off, its slot wasted. Requests also waited for a slot until their deadline, when no answer could come in time any more.

Ruled out: shares of slots. 7 entry hosts with one slot each use 7 of 8 slots, so shares explain a loss of an eighth, not of a third.

Change: half of the time is used only when it is three times the expected latency; a wait ends when the expected latency no longer fits.

--- a/include/oleanderhall/routing/servicerouter.h
+++ b/include/oleanderhall/routing/servicerouter.h
@@ -76,6 +76,8 @@
 
     /// Says whether `endpoint` still is an upstream in this very life.
     bool holds(const Endpoint &endpoint) const;
+    /// Returns how long an answer takes on average, as far as is known.
+    Millis expectedLatency() const;
     const ServiceRule &rule() const { return m_rule; }
     std::size_t waiting() const { return m_waiting.size(); }
     int inFlight() const;
--- a/src/http/dispatcher.cpp
+++ b/src/http/dispatcher.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr int kMaxTries = 4; // upstreams for one request
+constexpr int kPlenty = 3; // times the expected latency
 constexpr Millis kShortestTry{50}; // of a request that may be tried again
 constexpr Millis kComeBack{1000};
 
@@ -37,13 +38,16 @@
         != rule.notRunStatuses.end();
 }
 
-/// A request that may be tried again leaves half of its time for the next try.
-Instant latestAnswer(const Call &call, int tries)
+/// A request that may be tried again leaves half of its time for the next try, if half is plenty
+/// for this one. Cutting a try short that would have been answered wastes the slot that it holds.
+Instant latestAnswer(const Call &call, int tries, Millis expected)
 {
     const Instant now = timeNow();
     if (call.isUnrepeatable || tries + 1 >= kMaxTries)
         return call.deadline;
     const auto half = std::chrono::duration_cast<Millis>((call.deadline - now) / 2);
+    if (half < kPlenty * expected)
+        return call.deadline;
     return std::min(call.deadline, now + std::max(half, kShortestTry));
 }
 
@@ -132,7 +136,8 @@
     ++progress.tries;
     const Instant started = timeNow();
     UpstreamOutcome outcome = co_await m_parts.upstreams.send(
-        endpoint, call, latestAnswer(call, progress.tries), !call.isUnrepeatable);
+        endpoint, call, latestAnswer(call, progress.tries, m_parts.routes.expectedLatency(service)),
+        !call.isUnrepeatable);
     using Kind = UpstreamOutcome::Kind;
     AttemptResult result = AttemptResult::Broken;
     if (outcome.kind == Kind::Answered) {
--- a/src/http/routetable.cpp
+++ b/src/http/routetable.cpp
@@ -67,6 +67,7 @@
     const auto executor = co_await boost::asio::this_coro::executor;
     std::shared_ptr<OneShot<Endpoint>> waiter;
     WaiterId id;
+    Instant latest = request.deadline;
     {
         const std::lock_guard lock(found->mutex);
         const Admission admission = found->router.admit(request, std::chrono::steady_clock::now());
@@ -75,10 +76,11 @@
         if (const auto *grant = std::get_if<SlotGrant>(&admission))
             co_return grant->endpoint;
         id = std::get<Waiting>(admission).id;
+        latest -= found->router.expectedLatency();
         waiter = std::make_shared<OneShot<Endpoint>>(executor);
         found->waiters.emplace(id, waiter);
     }
-    const std::optional<Endpoint> granted = co_await waiter->wait(request.deadline);
+    const std::optional<Endpoint> granted = co_await waiter->wait(latest);
     if (granted)
         co_return *granted;
     const std::lock_guard lock(found->mutex);
@@ -87,6 +89,15 @@
     co_return Refusal{RefusalReason::QueueTimeout, Ran::No, Millis(1000)};
 }
 
+Millis RouteTable::expectedLatency(const std::string &service) const
+{
+    const ServicePtr found = find(service);
+    if (!found)
+        return Millis(0);
+    const std::lock_guard lock(found->mutex);
+    return found->router.expectedLatency();
+}
+
 void RouteTable::release(const std::string &service, const Endpoint &endpoint, AttemptResult result,
                          Millis took)
 {
--- a/src/http/routetable.h
+++ b/src/http/routetable.h
@@ -36,6 +36,8 @@
     void setEntryHosts(int entryHosts);
 
     std::optional<ServiceRule> ruleOf(std::string_view service) const;
+    /// Returns how long an answer of `service` takes on average.
+    Millis expectedLatency(const std::string &service) const;
     /// Waits for a slot, at most until the request could no longer meet its deadline.
     boost::asio::awaitable<SlotResult> acquire(std::string service, SlotRequest request);
     void release(const std::string &service, const Endpoint &endpoint, AttemptResult result,
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -78,8 +78,7 @@
     const Millis retryAfter = std::max(wait, kShortestRetryAfter);
     if (m_waiting.size() >= m_settings.maxWaiting)
         return Refusal{RefusalReason::Overloaded, Ran::No, retryAfter};
-    const Millis service(static_cast<Millis::rep>(std::ceil(expectedLatencyMs())));
-    if (now + wait + service > request.deadline)
+    if (now + wait + expectedLatency() > request.deadline)
         return Refusal{RefusalReason::TimeoutTooShort, Ran::No, retryAfter};
     m_lastWaiter = m_lastWaiter.next();
     m_waiting.emplace(request.deadline, Waiter{m_lastWaiter, request});
@@ -119,6 +118,11 @@
     return found != m_upstreams.end() && found->second.endpoint == endpoint;
 }
 
+Millis ServiceRouter::expectedLatency() const
+{
+    return Millis(static_cast<Millis::rep>(std::ceil(expectedLatencyMs())));
+}
+
 int ServiceRouter::inFlight() const
 {
     int total = 0;
