--- a/src/daemon/entryhost.cpp
+++ b/src/daemon/entryhost.cpp
@@ -32,7 +32,6 @@
 constexpr int kPlatformThreads = 8; // of the HTTP client and the operators' server
 constexpr int kMallocArenas = 2;
 constexpr Millis kHousekeeping{500};
-constexpr int kFirstShareOfConnections = 4;
 constexpr int kStoppedHard = 1;
 
 /// Blocks the stop signals in this thread and all that it starts later.
@@ -137,7 +136,7 @@
         m_metrics.gauge("requests_in_flight", inFlight);
         m_metrics.gauge("requests_waiting", waiting);
         m_metrics.gauge("caller_connections", m_callers->connections());
-        m_upstreams.setConnectionShare(kFirstShareOfConnections + inFlight);
+        m_upstreams.setConnectionShare(m_routes.connectionShare());
     }
 
     /// Not ready first, then no new connections, then what is in flight, then control, then the
--- a/src/daemon/operatorapi.cpp
+++ b/src/daemon/operatorapi.cpp
@@ -229,21 +229,28 @@
         candidate = parseRegister({"register", cursor.value().at("register").serialize()},
                                   {"rules", cursor.value().at("rules").serialize()});
     });
-    OperatorAnswer answer;
+    value changes;
     const auto propose = [&](const FleetState &state) -> std::optional<LogEntry> {
         std::optional<LogEntry> entry = acceptance(state, candidate, reason);
         if (entry && state.configVersion() != base)
             throw StaleBase(state.configVersion(), difference(state.config(), candidate));
-        answer.body["difference"] = toJson(difference(state.config(), candidate));
+        changes = toJson(difference(state.config(), candidate));
         return entry;
     };
-    if (call.isDryRun) {
+    OperatorAnswer answer = submit(call, propose);
+    answer.body["difference"] = changes;
+    return answer;
+}
+
+OperatorAnswer OperatorApi::submit(const OperatorCall &call, const Controller::Proposer &propose)
+{
+    bool isChanged = false;
+    if (call.isDryRun)
         m_controller.withState([&propose](const FleetState &state) { propose(state); });
-        answer.body["changed"] = value::string("no");
-        return answer;
-    }
-    const std::optional<Sequence> sequence = m_controller.commit(propose);
-    answer.body["changed"] = value::string(sequence ? "yes" : "no");
+    else
+        isChanged = m_controller.commit(propose).has_value();
+    OperatorAnswer answer;
+    answer.body["changed"] = value::string(isChanged ? "yes" : "no");
     m_controller.withState([&answer](const FleetState &state) {
         answer.body["version"] = value::number(state.configVersion().value);
     });
@@ -273,15 +280,7 @@
             throw InvalidDocument(std::move(findings));
         return acceptance(state, candidate, reason + ": " + hostName + " to " + poolName);
     };
-    OperatorAnswer answer;
-    if (call.isDryRun) {
-        m_controller.withState([&propose](const FleetState &state) { propose(state); });
-        answer.body["changed"] = value::string("no");
-        return answer;
-    }
-    const std::optional<Sequence> sequence = m_controller.commit(propose);
-    answer.body["changed"] = value::string(sequence ? "yes" : "no");
-    return answer;
+    return submit(call, propose);
 }
 
 OperatorAnswer OperatorApi::changeWave(const OperatorCall &call)
@@ -329,15 +328,7 @@
         entry.changes.push_back(WaveChange{next});
         return entry;
     };
-    OperatorAnswer answer;
-    if (call.isDryRun) {
-        m_controller.withState([&propose](const FleetState &state) { propose(state); });
-        answer.body["changed"] = value::string("no");
-        return answer;
-    }
-    const std::optional<Sequence> sequence = m_controller.commit(propose);
-    answer.body["changed"] = value::string(sequence ? "yes" : "no");
-    return answer;
+    return submit(call, propose);
 }
 
 OperatorAnswer OperatorApi::plan()
--- a/src/daemon/operatorapi.h
+++ b/src/daemon/operatorapi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controller.h"
 #include "settings.h"
 
 #include <cpprest/json.h>
@@ -8,7 +9,6 @@
 
 namespace oleanderhall {
 
-class Controller;
 class RequestTraces;
 
 /// Internal: an operator's call without its transport.
@@ -41,6 +41,8 @@
     OperatorAnswer status();
     OperatorAnswer config();
     OperatorAnswer apply(const OperatorCall &call);
+    /// Commits what `propose` returns, or only asks it when the call is a dry run.
+    OperatorAnswer submit(const OperatorCall &call, const Controller::Proposer &propose);
     OperatorAnswer move(const OperatorCall &call);
     OperatorAnswer changeWave(const OperatorCall &call);
     OperatorAnswer plan();
--- a/src/http/routetable.cpp
+++ b/src/http/routetable.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/this_coro.hpp>
 
+#include <algorithm>
+
 namespace oleanderhall {
 
 namespace {
@@ -130,6 +132,18 @@
     return total;
 }
 
+int RouteTable::connectionShare() const
+{
+    const std::shared_lock lock(m_mutex);
+    std::optional<int> fewest;
+    for (const auto &[name, service] : m_services) {
+        const std::lock_guard serviceLock(service->mutex);
+        const int connections = service->router.rule().connections;
+        fewest = std::min(fewest.value_or(connections), connections);
+    }
+    return std::max(fewest.value_or(1) / std::max(m_settings.entryHosts, 1), 1);
+}
+
 int RouteTable::upstreamCount() const
 {
     const std::shared_lock lock(m_mutex);
--- a/src/http/routetable.h
+++ b/src/http/routetable.h
@@ -44,6 +44,9 @@
                  Millis took);
     /// Says whether `endpoint` may be sent work now, by the view as it is at this moment.
     bool isCurrent(const std::string &service, const Endpoint &endpoint) const;
+    /// Returns how many connections this entry host may have open to one upstream: an even share of
+    /// what the strictest service's instances accept.
+    int connectionShare() const;
     /// Returns the number of upstreams, over all services.
     int upstreamCount() const;
     /// Returns the number of requests in flight and waiting, over all services.
