Make every limit on callers a setting; test memory under floods

Cause: the times for a header, a body, idling and taking an answer, and the bytes of all bodies together, were constants; a limit on memory was not tested.

A tautological check in the test that shows the property failing was removed (that at most 100 of 100 schedules fail).

--- a/src/daemon/entryhost.cpp
+++ b/src/daemon/entryhost.cpp
@@ -60,7 +60,12 @@
     CallerLimits limits;
     limits.headerBytes = static_cast<std::size_t>(settings.maxHeaderBytes);
     limits.bodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+    limits.bufferedBytes = static_cast<std::size_t>(settings.maxBufferedBytes);
     limits.connections = settings.maxConnections;
+    limits.headerTime = settings.headerTime;
+    limits.bodyTime = settings.bodyTime;
+    limits.idleTime = settings.idleTime;
+    limits.answerTime = settings.answerTime;
     return limits;
 }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -27,6 +27,10 @@
     int platformTimeoutMs = 1000;
     int stopNoticeMs = 1500;
     int stopLimitMs = 30000;
+    int headerTimeMs = 5000;
+    int bodyTimeMs = 10000;
+    int idleTimeMs = 30000;
+    int answerTimeMs = 10000;
 };
 
 void addOptions(CLI::App &app, RawSettings &raw, Settings &settings)
@@ -61,6 +65,11 @@
     number("--max-waiting", settings.maxWaiting, "Requests of one service that may wait");
     number("--max-body-bytes", settings.maxBodyBytes, "Largest request body in bytes");
     number("--max-header-bytes", settings.maxHeaderBytes, "Largest request header in bytes");
+    number("--max-buffered-bytes", settings.maxBufferedBytes, "All request bodies in bytes");
+    number("--header-time-ms", raw.headerTimeMs, "Time for a request header");
+    number("--body-time-ms", raw.bodyTimeMs, "Time for a request body");
+    number("--idle-time-ms", raw.idleTimeMs, "Time for which a connection may be idle");
+    number("--answer-time-ms", raw.answerTimeMs, "Time for a caller to take its answer");
     number("--retry-percent", settings.retryPercent, "Retries in percent of first tries");
     number("--tick-ms", raw.tickMs, "Time between two control steps in milliseconds");
     number("--view-lease-ms", raw.viewLeaseMs, "Age at which a view lapses in milliseconds");
@@ -95,12 +104,18 @@
     constexpr int kMaxConnections = 100000;
     constexpr int kMaxBody = 64 << 20;
     constexpr int kMaxHeader = 1 << 20;
+    constexpr int kMaxBuffered = 1 << 30;
     constexpr int kMaxMillis = 3600000;
     checkRange(settings.threads, 1, kMaxThreads, "--threads", findings);
     checkRange(settings.maxConnections, 1, kMaxConnections, "--max-connections", findings);
     checkRange(settings.maxWaiting, 0, kMaxConnections, "--max-waiting", findings);
     checkRange(settings.maxBodyBytes, 0, kMaxBody, "--max-body-bytes", findings);
     checkRange(settings.maxHeaderBytes, 1024, kMaxHeader, "--max-header-bytes", findings);
+    checkRange(settings.maxBufferedBytes, 0, kMaxBuffered, "--max-buffered-bytes", findings);
+    checkRange(raw.headerTimeMs, 1, kMaxMillis, "--header-time-ms", findings);
+    checkRange(raw.bodyTimeMs, 1, kMaxMillis, "--body-time-ms", findings);
+    checkRange(raw.idleTimeMs, 1, kMaxMillis, "--idle-time-ms", findings);
+    checkRange(raw.answerTimeMs, 1, kMaxMillis, "--answer-time-ms", findings);
     checkRange(settings.retryPercent, 0, 100, "--retry-percent", findings);
     checkRange(raw.tickMs, 10, 1000, "--tick-ms", findings);
     checkRange(raw.viewLeaseMs, 1000, 3500, "--view-lease-ms", findings);
@@ -133,6 +148,10 @@
     settings.platformTimeout = Millis(raw.platformTimeoutMs);
     settings.stopNotice = Millis(raw.stopNoticeMs);
     settings.stopLimit = Millis(raw.stopLimitMs);
+    settings.headerTime = Millis(raw.headerTimeMs);
+    settings.bodyTime = Millis(raw.bodyTimeMs);
+    settings.idleTime = Millis(raw.idleTimeMs);
+    settings.answerTime = Millis(raw.answerTimeMs);
 }
 
 } // namespace
--- a/tests/fleet/poolplanner_test.cpp
+++ b/tests/fleet/poolplanner_test.cpp
@@ -202,7 +202,5 @@
     for (std::uint32_t seed = 1; seed <= 100; ++seed)
         broken += runSchedule(seed, false).empty() ? 0 : 1;
     CHECK(broken > 0);
-    INFO("schedules of 100 with a violation: " << broken);
-    CHECK(broken <= 100);
     WARN("without the check of the head " << broken << " of 100 schedules violate a promise");
 }
--- a/tests/http/callerserver_test.cpp
+++ b/tests/http/callerserver_test.cpp
@@ -14,6 +14,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <fstream>
+
 using namespace oleanderhall;
 using test::FakeUpstream;
 namespace asio = boost::asio;
@@ -82,6 +84,26 @@
             && answer.find("\"reason\":\"" + reason + "\",\"ran\":\"no\"") != std::string::npos;
     }
 
+    /// Sends `head` and then `megabytes` of filling, as far as the server takes it.
+    void flood(const std::string &head, int megabytes)
+    {
+        asio::ip::tcp::socket socket = connect();
+        FakeUpstream::send(socket, head);
+        const std::string filling(1 << 16, 'f');
+        boost::system::error_code failed;
+        for (int count = 0; count < megabytes * 16 && !failed; ++count)
+            asio::write(socket, asio::buffer(filling), failed);
+    }
+
+    static long residentPages()
+    {
+        std::ifstream statm("/proc/self/statm");
+        long total = 0;
+        long resident = 0;
+        statm >> total >> resident;
+        return resident;
+    }
+
     static constexpr std::uint16_t kPort = 18099;
     const std::string kGood = "GET /alpha/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
@@ -225,3 +247,20 @@
     CHECK(answer.find("\"ran\":\"unknown\"") != std::string::npos);
     CHECK(exchange(kGood).starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE_METHOD(CallerServerTest,
+                 "CallerServer: 100 MB of header or body: memory stays and others are served")
+{
+    constexpr int kMegabytes = 100;
+    constexpr long kPagesPerMegabyte = 256;
+    constexpr long kMostGrowth = 8 * kPagesPerMegabyte;
+    exchange(kGood);
+    const long before = residentPages();
+    flood("GET /alpha/x HTTP/1.1\r\nX: ", kMegabytes);
+    flood("POST /alpha/x HTTP/1.1\r\nHost: h\r\nContent-Length: 104857600\r\n\r\n", kMegabytes);
+    flood("POST /alpha/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n6400000\r\n",
+          kMegabytes);
+    CHECK(residentPages() - before < kMostGrowth);
+    CHECK(exchange(kGood).starts_with("HTTP/1.1 200"));
+    CHECK(upstream.requests() == 2);
+}
