--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -213,7 +213,7 @@
             m_metrics.count("control_steps_failed_total");
             logWarning("control_step_failed", {{"error", error.what()}});
         }
-        const bool isBusy = timeNow() - m_lastActivity < kBusyAfterChange;
+        const bool isBusy = timeNow() - m_lastActivity.load() < kBusyAfterChange;
         const Millis period = isBusy ? m_settings.tick : std::max(m_settings.tick, kIdleTick);
         m_sleep.sleepUntil(started + period);
     }
--- a/src/daemon/controller.h
+++ b/src/daemon/controller.h
@@ -111,7 +111,7 @@
     bool m_hasHostList = false;
     Sequence m_latestDrain; ///< The newest entry that drains a host.
     bool m_awaitsAcknowledgements = false; ///< A host of an owned pool drains.
-    Instant m_lastActivity;
+    std::atomic<Instant> m_lastActivity{Instant{}}; ///< Also written by operators' changes.
     Wakeup m_sleep;
     Instant m_nextHeartbeat;
     Instant m_nextMemberRead;
