Spread first instances over all zones, also when hosts join late

Hosts of a pool join over several steps; instances were placed as soon as any hosts served, so the zone whose hosts came a step later got none, and had nothing to serve once it was cut off.

Ruled out: the cut itself (the other services of the zone answered everything) and the load of the machine (latencies as ever, p99 11.6 ms).

Change: a service's first instances wait until every host of its pool has joined or failed to.

--- a/src/fleet/poolstep.cpp
+++ b/src/fleet/poolstep.cpp
@@ -250,6 +250,10 @@
                               .startFailures = m_startFailures[host],
                               .holdsService = holds});
     }
+    // The first instances wait until every host has joined or failed to, so that they are spread
+    // over all zones and a zone that is cut off has some of its own.
+    if (held == 0 && hasHostsToJoin())
+        return;
     for (const HostId host : chooseInstanceHosts(candidates, rule.instances - held)) {
         if (!hasRoom())
             return;
@@ -382,6 +386,15 @@
     addReason("wave " + next.id.name() + ": " + next.reason);
 }
 
+bool PoolStep::hasHostsToJoin() const
+{
+    const auto &registered = m_state.registeredIn(m_pool);
+    return std::any_of(registered.begin(), registered.end(), [this](HostId host) {
+        const HostRecord *record = m_state.record(host);
+        return !record || record->state == HostState::Joining;
+    });
+}
+
 bool PoolStep::servicesSettled() const
 {
     int serving = 0;
--- a/src/fleet/poolstep.h
+++ b/src/fleet/poolstep.h
@@ -36,6 +36,7 @@
     void dropForeignInstances(const HostRecord &record);
     void admitWaveHosts(const WaveRecord &wave);
     bool tryDisrupt(const HostRecord &record, Disruption disruption, const std::string &why);
+    bool hasHostsToJoin() const;
     bool servicesSettled() const;
     bool isClear(const HostRecord &record, Millis sinceChange) const;
     bool isZoneFrozen(HostId host) const;
--- a/tests/fleet/poolplanner_test.cpp
+++ b/tests/fleet/poolplanner_test.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck/catch.h>
 
 #include <random>
+#include <set>
 
 using namespace oleanderhall;
 using test::FleetWorld;
@@ -95,6 +96,29 @@
     CHECK(ready == 4);
 }
 
+TEST_CASE("PoolPlanner: hosts of one zone join late: every zone gets an instance all the same")
+{
+    FleetWorld world(true);
+    test::FleetWorld::Decider &decider = world.deciders[0];
+    for (int round = 0; round < 24; ++round) {
+        for (auto &[id, worker] : world.workers) {
+            const bool isLate = world.truth.config().hosts.at(id).zone == ZoneId("z2");
+            worker.isUp = !isLate || round >= 6;
+        }
+        world.sync(decider);
+        world.observe(decider);
+        world.plan(decider);
+        world.carryOut(decider);
+        world.now += Millis(250);
+    }
+    std::set<ZoneId> zones;
+    for (const HostId host : world.truth.hostsOf(kPoolA)) {
+        if (world.truth.record(host)->instanceOf(ServiceId("alpha")))
+            zones.insert(world.truth.spec(host)->zone);
+    }
+    CHECK(zones.size() == 3);
+}
+
 TEST_CASE("PoolPlanner: a wave without faults: every host is maintained and the wave ends")
 {
     FleetWorld world(true);
