--- a/src/platform/httpcall.cpp
+++ b/src/platform/httpcall.cpp
@@ -60,6 +60,12 @@
 
 } // namespace
 
+void requireOk(const HttpAnswer &answer, const std::string &url)
+{
+    if (answer.status != kOk)
+        throw PlatformUnavailable(url + ": status " + std::to_string(answer.status));
+}
+
 HttpAnswer callPlatform(const HttpCall &call)
 {
     return callThrough(clientFor(call), call);
@@ -73,8 +79,7 @@
         if (!client)
             client = clientFor(call);
         HttpAnswer answer = callThrough(client, call);
-        if (answer.status != kOk)
-            throw PlatformUnavailable(call.url + ": status " + std::to_string(answer.status));
+        requireOk(answer, call.url);
         return std::move(answer.body);
     } catch (const OutcomeUnknown &error) {
         client.reset();
--- a/src/platform/httpcall.h
+++ b/src/platform/httpcall.h
@@ -25,6 +25,9 @@
     std::string body;
 };
 
+/// Internal: throws PlatformUnavailable unless `answer`, which came from `url`, has status 200.
+void requireOk(const HttpAnswer &answer, const std::string &url);
+
 /// Internal: makes the call on a connection of its own. Throws PlatformUnavailable when nothing was
 /// sent, OutcomeUnknown when something may have been.
 HttpAnswer callPlatform(const HttpCall &call);
--- a/src/platform/httpobjectstore.cpp
+++ b/src/platform/httpobjectstore.cpp
@@ -19,9 +19,7 @@
                                                 .headers = {},
                                                 .body = data,
                                                 .timeout = m_timeout});
-        constexpr int kOk = 200;
-        if (answer.status != kOk)
-            throw PlatformUnavailable("the store answered status " + std::to_string(answer.status));
+        requireOk(answer, m_address + "/" + key);
     } catch (const OutcomeUnknown &error) {
         throw PlatformUnavailable(error.what()); // An object that nothing names does no harm.
     }
--- a/src/platform/workerclient.cpp
+++ b/src/platform/workerclient.cpp
@@ -66,9 +66,7 @@
          .headers = {},
          .body = body,
          .timeout = m_timeout});
-    constexpr int kOk = 200;
-    if (answer.status != kOk)
-        throw PlatformUnavailable("the worker answered status " + std::to_string(answer.status));
+    requireOk(answer, urlOf(command.host));
 }
 
 HostObservation WorkerClient::observe(HostId host)
