Count leaving hosts as unavailable before a voluntary disruption is admitted

Leaving hosts are now drained first, wherever they stand in the loop, and taken from the budget also when their drain has to wait for the next entry. DisruptionBudget keeps the set of available hosts, so that a host that is lost and leaves is taken once.

--- a/include/oleanderhall/fleet/disruptionbudget.h
+++ b/include/oleanderhall/fleet/disruptionbudget.h
@@ -21,13 +21,14 @@
 
     /// Returns why the budget forbids taking `host` out of service, or nothing if it allows it.
     std::optional<std::string> refusalReason(HostId host) const;
-    /// Counts an available `host` as unavailable for a planned reason.
+    /// Counts `host` as unavailable, and its rack as disrupted: it is drained for a planned reason
+    /// or because it leaves the fleet. Has no effect if it was recorded before.
     void recordDisruption(HostId host);
     /// Counts a failed host as unavailable. Has no effect if it was not available before.
-    void recordLoss(const HostRecord &record);
+    void recordLoss(HostId host) { m_availableHosts.erase(host); }
 
-    int available() const { return m_available; }
-    int unavailable() const { return m_unavailable; }
+    int available() const { return static_cast<int>(m_availableHosts.size()); }
+    int unavailable() const { return m_hostCount - available(); }
 
 private:
     bool isAvailable(const HostRecord &record) const;
@@ -36,8 +37,8 @@
     const FleetState &m_state;
     const Observations &m_observations;
     PoolRule m_rule;
-    int m_available = 0;
-    int m_unavailable = 0;
+    int m_hostCount = 0; ///< Hosts of the pool, available or not.
+    std::set<HostId> m_availableHosts;
     std::set<RackId> m_disruptedRacks;
 };
 
--- a/src/fleet/disruptionbudget.cpp
+++ b/src/fleet/disruptionbudget.cpp
@@ -12,10 +12,9 @@
         m_rule = rule->second;
     for (const HostId host : state.hostsOf(pool)) {
         const HostRecord &record = *state.record(host);
+        ++m_hostCount;
         if (isAvailable(record))
-            ++m_available;
-        else
-            ++m_unavailable;
+            m_availableHosts.insert(host);
         if (record.state != HostState::Serving && record.disruption != Disruption::None)
             m_disruptedRacks.insert(rackOf(host));
     }
@@ -23,13 +22,12 @@
 
 std::optional<std::string> DisruptionBudget::refusalReason(HostId host) const
 {
-    const HostRecord *record = m_state.record(host);
-    if (record && !isAvailable(*record))
+    if (m_state.record(host) && !m_availableHosts.contains(host))
         return "the host itself is unavailable";
-    if (m_available - 1 < m_rule.minAvailable)
+    if (available() - 1 < m_rule.minAvailable)
         return "minAvailable " + std::to_string(m_rule.minAvailable) + " is reached with "
-            + std::to_string(m_available) + " available";
-    if (m_unavailable + 1 > m_rule.maxUnavailable)
+            + std::to_string(available()) + " available";
+    if (unavailable() + 1 > m_rule.maxUnavailable)
         return "maxUnavailable " + std::to_string(m_rule.maxUnavailable) + " is exhausted";
     std::set<RackId> racks = m_disruptedRacks;
     racks.insert(rackOf(host));
@@ -40,8 +38,7 @@
 
 void DisruptionBudget::recordDisruption(HostId host)
 {
-    --m_available;
-    ++m_unavailable;
+    m_availableHosts.erase(host);
     m_disruptedRacks.insert(rackOf(host));
 }
 
@@ -52,14 +49,6 @@
         && !hasLostInstances(record, m_observations);
 }
 
-void DisruptionBudget::recordLoss(const HostRecord &record)
-{
-    if (!isAvailable(record))
-        return;
-    --m_available;
-    ++m_unavailable;
-}
-
 RackId DisruptionBudget::rackOf(HostId host) const
 {
     const HostSpec *spec = m_state.spec(host);
--- a/src/fleet/poolstep.cpp
+++ b/src/fleet/poolstep.cpp
@@ -252,7 +252,7 @@
 
 void PoolStep::markFailed(const HostRecord &record, const std::string &why)
 {
-    m_budget.recordLoss(record);
+    m_budget.recordLoss(record.id);
     HostRecord next = record;
     next.state = HostState::Failed;
     next.instances.clear();
--- a/src/fleet/poolstep.h
+++ b/src/fleet/poolstep.h
@@ -48,6 +48,9 @@
                                 std::map<ZoneId, int> perZone, int placed);
     void addInstance(HostId host, const ServiceRule &rule);
     void removeObsoleteInstances(const HostRecord &record);
+    /// Drains the hosts that the platform withdraws. They leave in any case, so the budget limits
+    /// these drains only if more than half of the pool seems to leave at once.
+    void drainLeavingHosts();
     void admitWaveHosts(const WaveRecord &wave);
     bool tryDisrupt(const HostRecord &record, Disruption disruption, const std::string &why);
     bool hasHostsToJoin() const;
--- a/src/fleet/poolstepdisruptions.cpp
+++ b/src/fleet/poolstepdisruptions.cpp
@@ -9,29 +9,47 @@
 
 void PoolStep::admitDisruptions()
 {
+    // Hosts that leave in any case reduce the budget before a voluntary disruption is admitted.
+    drainLeavingHosts();
     for (const HostId host : m_state.hostsOf(m_pool)) {
         const HostRecord &record = *m_state.record(host);
-        if (record.state != HostState::Serving || isChanged(host) || !canAddChange())
+        if (record.state != HostState::Serving || isChanged(host) || !canAddChange()
+            || m_observations.currentFor(record).leaving)
             continue;
         const PoolId assignedPool = registeredPool(host);
-        if (m_observations.currentFor(record).leaving && m_limitsLeavingByBudget) {
-            tryDisrupt(record, Disruption::Leave, "the platform reports that the host is leaving");
-        } else if (m_observations.currentFor(record).leaving) {
-            HostRecord next = record;
-            next.state = HostState::Draining;
-            next.disruption = Disruption::Leave;
-            changeHost(next, "the platform reports that the host is leaving");
-        } else if (assignedPool.empty()) {
+        if (assignedPool.empty())
             tryDisrupt(record, Disruption::Remove, "the register no longer lists it");
-        } else if (assignedPool != m_pool) {
+        else if (assignedPool != m_pool)
             tryDisrupt(record, Disruption::Move, "the register moves it to " + assignedPool.name());
-        }
     }
     const WaveRecord *wave = m_state.waveOf(m_pool);
     if (wave && wave->status == WaveStatus::Running)
         admitWaveHosts(*wave);
 }
 
+void PoolStep::drainLeavingHosts()
+{
+    constexpr const char *kReason = "the platform reports that the host is leaving";
+    for (const HostId host : m_state.hostsOf(m_pool)) {
+        const HostRecord &record = *m_state.record(host);
+        if (record.state != HostState::Serving || !m_observations.currentFor(record).leaving)
+            continue;
+        const bool canChange = !isChanged(host) && canAddChange();
+        if (m_limitsLeavingByBudget) {
+            if (canChange)
+                tryDisrupt(record, Disruption::Leave, kReason);
+            continue;
+        }
+        m_budget.recordDisruption(host);
+        if (!canChange)
+            continue;
+        HostRecord next = record;
+        next.state = HostState::Draining;
+        next.disruption = Disruption::Leave;
+        changeHost(next, kReason);
+    }
+}
+
 void PoolStep::admitWaveHosts(const WaveRecord &wave)
 {
     int done = 0;
--- a/tests/fleet/poolplanner_test.cpp
+++ b/tests/fleet/poolplanner_test.cpp
@@ -26,7 +26,7 @@
     FleetWorld::Decider &decider = world.deciders[pick(world.deciders.size())];
     test::FleetWorld::WorkerState &state = worker->second;
     EntryHostObservation &entry = world.entryHosts[pick(world.entryHosts.size())];
-    switch (pick(14)) {
+    switch (pick(15)) {
     case 0:
     case 1:
         return world.sync(decider);
@@ -53,7 +53,10 @@
         entry.leaseExpired = true;
         world.now += Millis(pick(9000));
         return;
-    case 12: {
+    case 12:
+        state.isLeaving = !state.isLeaving;
+        return;
+    case 13: {
         HostSpec spec = world.committed.config().hosts.at(worker->first);
         spec.pool = pick(2) == 0 ? kPoolA : kPoolB;
         RegisterPatch patch;
@@ -256,6 +259,45 @@
     CHECK(world.violations.empty());
 }
 
+TEST_CASE("PoolPlanner: hosts leave during a wave: the wave counts them as unavailable")
+{
+    // a0 and a1 stand before the other hosts in the planner's loop, a4 and a5 behind them.
+    for (const auto &leaving : {std::pair("a0", "a1"), std::pair("a4", "a5")}) {
+        FleetWorld world(true);
+        world.runHealthyRounds(12);
+        world.commitOperatorChange(WaveChange{{WaveId("w"), kPoolA, WaveStatus::Running, "test"}});
+        world.workers[HostId(leaving.first)].isLeaving = true;
+        world.workers[HostId(leaving.second)].isLeaving = true;
+        test::FleetWorld::Decider &decider = world.deciders[0];
+        world.sync(decider);
+        world.observe(decider);
+        world.plan(decider);
+        world.execute(decider);
+        CHECK(world.serving(kPoolA) == 4);
+        CHECK(world.violations.empty());
+    }
+}
+
+TEST_CASE("PoolPlanner: a host moves while a later one leaves: the move waits for the budget")
+{
+    FleetWorld world(true);
+    world.runHealthyRounds(12);
+    HostSpec spec = world.committed.config().hosts.at(HostId("a0"));
+    spec.pool = kPoolB;
+    RegisterPatch patch;
+    patch.hosts.push_back(spec);
+    world.commitOperatorChange(ConfigChange{{2}, patch});
+    world.workers[HostId("a4")].isLeaving = true;
+    world.workers[HostId("a5")].isLeaving = true;
+    test::FleetWorld::Decider &decider = world.deciders[0];
+    world.sync(decider);
+    world.observe(decider);
+    world.plan(decider);
+    world.execute(decider);
+    CHECK(world.committed.record(HostId("a0"))->state == HostState::Serving);
+    CHECK(world.violations.empty());
+}
+
 TEST_CASE("PoolPlanner: racing and paused deciders under faults: no budget and no pool is violated")
 {
     rc::prop("no violation in any schedule", [] {
--- a/tests/support/fleetworld.h
+++ b/tests/support/fleetworld.h
@@ -40,6 +40,7 @@
     struct WorkerState
     {
         bool isUp = true;
+        bool isLeaving = false; ///< The platform's host list says that the host is withdrawn.
         Epoch epoch;
         Epoch bootEpoch;
         std::vector<ServiceId> running;
@@ -76,6 +77,7 @@
         decider.observations.hosts.clear();
         for (const auto &[id, worker] : workers) {
             HostObservation observation{.health = worker.isUp ? Health::Healthy : Health::Unhealthy,
+                                        .leaving = worker.isLeaving,
                                         .observedAt = decider.state.sequence()};
             observation.workerEpoch = worker.epoch;
             observation.bootEpoch = worker.bootEpoch;
