Interrupt the tasks of at most one host in a plan, whichever wave it belongs to

Cause: the HostPlanner asks whether a worker may be interrupted for each host alone, on the state before the plan.

--- a/src/maintenance/hostplanner.cpp
+++ b/src/maintenance/hostplanner.cpp
@@ -146,6 +146,9 @@
 
 void HostPlanner::planWaves(const UsageLookup &usageOf, Instant now, Plan &plan)
 {
+    // mayInterrupt considers each host alone, so a plan interrupts the tasks of at most one host,
+    // whichever wave it belongs to, and then evacuates none.
+    bool isInterrupting = false;
     for (auto &[number, state] : m_waves) {
         if (state.isCompleted)
             continue;
@@ -201,15 +204,14 @@
             if (!usage.isKnown && !host->info.worker.empty())
                 continue;
             if (rank < 2 && usage.mayInterrupt) {
+                if (!usage.isEmpty && isInterrupting)
+                    break; // idle hosts come first, so none is left
+                isInterrupting = isInterrupting || !usage.isEmpty;
                 ++unavailable;
                 state.unavailableUntil[host->info.id] = now + m_settings.maintenanceTime;
                 addCommand(*host,
                            {.host = host->info.id, .wave = number, .reason = "maintenance wave"},
                            plan);
-                // mayInterrupt considers each host alone, so a plan interrupts the tasks of at most
-                // one host of the wave.
-                if (!usage.isEmpty)
-                    break;
             } else if (isBehind && unavailable + cordoned < state.wave.maxAtOnce
                        && cordoned < std::max(1, state.wave.maxAtOnce / 4)) {
                 plan.cordoned.insert(host->info.worker);
@@ -218,6 +220,8 @@
             }
         }
     }
+    if (isInterrupting)
+        plan.evacuated.clear();
 }
 
 bool HostPlanner::awaitsMaintenance(ServiceId pool) const
--- a/tests/maintenance/hostplanner_test.cpp
+++ b/tests/maintenance/hostplanner_test.cpp
@@ -183,6 +183,34 @@
     CHECK(plan(20, 20).evacuated.contains(WorkerId("w-b0")));
 }
 
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_twoWaves_interruptOneHostInAPlan", "[hosts]")
+{
+    // Guards against plans that exceed a disruption budget: each host alone may be interrupted, but
+    // both may run tasks of the same step.
+    for (const char *worker : {"w-b0", "w-c0"})
+        usages[WorkerId(worker)] = {.isKnown = true, .isEmpty = false, .mayInterrupt = true};
+    Wave second = wave({"c0"}, 2);
+    second.number = 2;
+    planner.addWave(wave({"b0"}, 2), now);
+    planner.addWave(second, now);
+    CHECK(plan(0, 0).commands.size() == 1);
+}
+
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_interruptsAHost_evacuatesNoneInTheSamePlan",
+                 "[hosts]")
+{
+    usages[WorkerId("w-b0")] = {.isKnown = true, .isEmpty = false, .mayInterrupt = true};
+    usages[WorkerId("w-c0")] = {.isKnown = true, .isEmpty = false, .mayInterrupt = false};
+    Wave second = wave({"b0"}, 2);
+    second.number = 2;
+    planner.addWave(wave({"c0"}, 2), now);
+    planner.addWave(second, now);
+    now += Millis(20000); // both waves are behind schedule
+    const HostPlanner::Plan result = plan(0, 0);
+    CHECK(result.commands.size() == 1);
+    CHECK(result.evacuated.empty());
+}
+
 TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_waveDone_isCompletedOnlyThen", "[hosts]")
 {
     planner.addWave(wave({"b0", "c0"}, 1), now);
