Follow the list of workers by its changes, past its first page

Cause: the owner read the whole table of service discovery every 100 ms to 700 ms and took the first page of 500 rows for all of it. On 1,100 workers more than half were never listed, and on 350 each read decoded every entry again.

WorkerDirectory applies the table's feed; heartbeats change nothing.

--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -2,7 +2,6 @@
 
 #include "storednames.h"
 
-#include "../../platform/discovery.h"
 #include "../daemon/log.h"
 #include "../daemon/metrics.h"
 
@@ -19,7 +18,10 @@
 
 // A slow table needs several hundred milliseconds for each transaction.
 constexpr Millis kProgressWriteTimeout{2500};
-constexpr Millis kStepDelay{2}; // one scheduling step handles all events of this period
+constexpr Millis kStepDelay{5}; // one scheduling step handles all events of this period
+// Each job takes up to three of the 100 entries that the platform allows in a transaction, and the
+// row of the fencing token takes one.
+constexpr std::size_t kMaxJobsPerTransaction = 30;
 
 SchedulerSettings schedulerSettings(const NodeSettings &settings)
 {
@@ -44,7 +46,6 @@
     , m_scheduler(schedulerSettings(settings), m_term.generation - 1, monotonicNow())
     , m_workerClient(io, metrics, m_term.version)
     , m_stepTimer(io)
-    , m_workerListTimer(io)
 {
     if (!settings.adviceAddress.empty())
         m_adviceClient = std::make_unique<platform::AdviceClient>(io, settings.adviceAddress,
@@ -63,7 +64,7 @@
     m_partitionsToRead = kJobPartitions;
     for (int partition = 0; partition < kJobPartitions; ++partition)
         fencePartition(partition);
-    readWorkerList();
+    watchWorkers();
     if (!m_settings.hostServiceAddress.empty()) {
         m_hostController = std::make_shared<HostController>(m_io, m_settings, m_table, m_ownership,
                                                             m_view, m_scheduler, m_metrics);
@@ -79,10 +80,11 @@
     logInfo("ownership_ended", {{"token", std::to_string(m_term.version)}});
     if (m_jobWatcher)
         m_jobWatcher->stop();
+    if (m_workerWatcher)
+        m_workerWatcher->stop();
     if (m_hostController)
         m_hostController->stop();
     m_stepTimer.cancel();
-    m_workerListTimer.cancel();
 }
 
 void FleetOwner::viewChanged()
@@ -231,20 +233,26 @@
 {
     struct Batch
     {
+        int partition = 0;
+        std::size_t jobs = 0;
         platform::Transaction transaction;
         std::vector<JobProgress> updates;
     };
-    std::map<int, Batch> batches;
+    std::vector<Batch> batches;
+    std::vector<std::optional<std::size_t>> open(kJobPartitions); // the last batch of each
     const auto batchOf = [&](JobId id) -> Batch & {
         const int partition = jobPartition(id);
-        Batch &batch = batches[partition];
-        if (batch.transaction.partition.empty()) {
+        std::optional<std::size_t> &index = open[static_cast<std::size_t>(partition)];
+        if (!index || batches[*index].jobs == kMaxJobsPerTransaction) {
+            index = batches.size();
+            Batch &batch = batches.emplace_back(Batch{.partition = partition});
             batch.transaction.partition = jobPartitionName(partition);
             batch.transaction.preconditions.push_back(
                 {kFencingTokenTable, kFencingTokenKey,
                  m_tokenRowVersions[static_cast<std::size_t>(partition)]});
         }
-        return batch;
+        ++batches[*index].jobs;
+        return batches[*index];
     };
     for (const JobProgress &update : write.updates) {
         Batch &batch = batchOf(update.id);
@@ -265,21 +273,21 @@
     }
     m_writesInFlight = static_cast<int>(batches.size());
     m_haveWritesSucceeded = true;
-    for (auto &[partition, batch] : batches) {
-        m_table.transact(
-            batch.transaction, kProgressWriteTimeout,
-            [weak = weak_from_this(), partition = partition, updates = std::move(batch.updates),
-             batchNumber = write.batch](const platform::TransactionResult &result) {
-                const auto self = weak.lock();
-                if (!self || self->m_isStopped)
-                    return;
-                self->onBatchWritten(partition, updates, result);
-                if (--self->m_writesInFlight > 0)
-                    return;
-                self->m_scheduler.onProgressWritten(batchNumber, self->m_haveWritesSucceeded,
-                                                    monotonicNow());
-                self->scheduleStep();
-            });
+    for (Batch &batch : batches) {
+        m_table.transact(batch.transaction, kProgressWriteTimeout,
+                         [weak = weak_from_this(), partition = batch.partition,
+                          updates = std::move(batch.updates),
+                          batchNumber = write.batch](const platform::TransactionResult &result) {
+                             const auto self = weak.lock();
+                             if (!self || self->m_isStopped)
+                                 return;
+                             self->onBatchWritten(partition, updates, result);
+                             if (--self->m_writesInFlight > 0)
+                                 return;
+                             self->m_scheduler.onProgressWritten(
+                                 batchNumber, self->m_haveWritesSucceeded, monotonicNow());
+                             self->scheduleStep();
+                         });
     }
 }
 
--- a/src/node/fleetowner.h
+++ b/src/node/fleetowner.h
@@ -4,6 +4,7 @@
 #include "hostcontroller.h"
 #include "nodesettings.h"
 #include "tablewatcher.h"
+#include "workerdirectory.h"
 
 #include "../../platform/adviceclient.h"
 #include "../../platform/tableclient.h"
@@ -54,8 +55,8 @@
     void applyProgress(const platform::ReadResult &result);
     void watchJobs();
     void applyJobs(const TableWatcher::Update &update);
-    void applyWorkerList(const platform::ReadResult &result);
-    void readWorkerList();
+    void watchWorkers();
+    void applyWorkers(const TableWatcher::Update &update);
     void dispatch(std::vector<SchedulerAction> &actions);
     void send(const StartCommand &command);
     void send(const StopCommand &command);
@@ -82,6 +83,8 @@
     std::unique_ptr<platform::AdviceClient> m_adviceClient;
     std::shared_ptr<HostController> m_hostController;
     std::shared_ptr<TableWatcher> m_jobWatcher;
+    std::shared_ptr<TableWatcher> m_workerWatcher;
+    WorkerDirectory m_workerDirectory;
     /// Progress that was read at the take-over; held until the jobs are loaded.
     std::map<JobId, JobProgress> m_inheritedProgress;
     /// Versions of the fencing token rows, by partition.
@@ -91,7 +94,6 @@
     bool m_haveWritesSucceeded = true; ///< None of them has failed so far.
     std::map<JobId, std::uint64_t> m_progressVersions; ///< Expected by the next progress write.
     boost::asio::steady_timer m_stepTimer;
-    boost::asio::steady_timer m_workerListTimer;
     bool m_isStepScheduled = false;
     bool m_isLoaded = false;
     bool m_areWorkersListed = false;
--- a/src/node/fleetownerloading.cpp
+++ b/src/node/fleetownerloading.cpp
@@ -3,7 +3,6 @@
 
 #include "storednames.h"
 
-#include "../../platform/discovery.h"
 #include "../../platform/tablenames.h"
 #include "../daemon/log.h"
 
@@ -16,9 +15,8 @@
 
 namespace {
 
-// A worker must get no new tasks later than 2 s after it has reported that it drains.
-constexpr Millis kWorkerListInterval{700};
-constexpr Millis kShortWorkerListInterval{100}; // while hosts are moved or maintained
+constexpr Millis kWorkerLongPoll{1000};
+constexpr Millis kWorkerPollSpacing{100}; // one poll returns the heartbeats of this period
 constexpr Millis kReadTimeout{1500};
 constexpr Millis kFencingTimeout{2500};
 constexpr Millis kJobLongPoll{1000};
@@ -161,41 +159,26 @@
     scheduleStep();
 }
 
-void FleetOwner::readWorkerList()
+void FleetOwner::watchWorkers()
 {
-    m_table.read(platform::kWorkerTable, "", "", "", kReadTimeout,
-                 [weak = weak_from_this()](const platform::ReadResult &result) {
-                     const auto self = weak.lock();
-                     if (!self || self->m_isStopped)
-                         return;
-                     self->applyWorkerList(result);
-                     self->m_workerListTimer.expires_after(
-                         self->m_hostController && self->m_hostController->hasPendingChanges()
-                             ? kShortWorkerListInterval
-                             : kWorkerListInterval);
-                     self->m_workerListTimer.async_wait(
-                         [weak](const boost::system::error_code &error) {
-                             const auto strong = weak.lock();
-                             if (!error && strong && !strong->m_isStopped)
-                                 strong->readWorkerList();
-                         });
-                 });
+    m_workerWatcher = std::make_shared<TableWatcher>(
+        m_io, m_table,
+        TableWatcher::Source{.table = platform::kWorkerTable,
+                             .partitions = {""},
+                             .longPoll = kWorkerLongPoll,
+                             .spacing = kWorkerPollSpacing},
+        [weak = weak_from_this()](const TableWatcher::Update &update) {
+            if (const auto self = weak.lock())
+                self->applyWorkers(update);
+        });
+    m_workerWatcher->start();
 }
 
-void FleetOwner::applyWorkerList(const platform::ReadResult &result)
+void FleetOwner::applyWorkers(const TableWatcher::Update &update)
 {
-    if (!result.isSuccess)
-        return; // the last list stays in use; calls to workers that have left it fail
-    std::vector<WorkerInfo> workers;
-    for (const platform::TableRow &row : result.rows) {
-        try {
-            workers.push_back(platform::decodeWorker(row.key, row.value));
-        } catch (const std::exception &decodeError) {
-            logWarning("worker_entry_unreadable",
-                       {{"key", row.key}, {"reason", decodeError.what()}});
-        }
-    }
-    m_scheduler.setWorkers(workers, monotonicNow());
+    if (!m_workerDirectory.apply(update) && m_areWorkersListed)
+        return;
+    m_scheduler.setWorkers(m_workerDirectory.workers(), monotonicNow());
     m_areWorkersListed = true;
     scheduleStep();
 }
--- a/tests/maintenance/hostplanner_property_test.cpp
+++ b/tests/maintenance/hostplanner_property_test.cpp
@@ -2,8 +2,8 @@
 // order. Checks that no command exceeds a wave's limit or a step's disruption budget.
 #include "oleanderhall/maintenance/hostplanner.h"
 
-#include <catch2/catch.hpp>
 #include <algorithm>
+#include <catch2/catch.hpp>
 #include <random>
 
 using namespace oleanderhall;
