Decide on a backlog at bounded cost, and record the progress of a large fleet in one write

Cause: each tick, 2 ms apart, ranked every step of the backlog again and searched the workers of all pools for each task, so that the cost of a start grew with the backlog just when starts were short: 41 us at 360 workers and 70 jobs a second, 214 us at 300 jobs a second, 505 us at 1,100 workers and 600 jobs a second (Scheduler alone, scratch benchmark). A write of progress held 30 jobs each 50 ms and began with the lowest id, so that releases of high ids waited for the changes of low ids; a pool released 12 jobs a write, whatever its size.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -99,14 +99,24 @@
     bool isSynced(ServiceId pool) const;
 
 private:
+    /// A step with tasks to start.
     struct Candidate
     {
-        TrackedJob *job;
-        Occurrence *occurrence;
-        int step;
+        JobId job;
+        int occurrence = 0; ///< The occurrence's index.
+        int step = 0;
         JobRank rank;
     };
 
+    /// The active jobs of a pool and its workers.
+    struct PoolState
+    {
+        std::set<JobId> jobs;
+        std::vector<WorkerState *> workers;
+        std::vector<Candidate> ranked; ///< As of the last ranking; steps without tasks are removed.
+        Instant nextRanking;
+    };
+
     /// The number of a step's tasks that are ready, on one worker and elsewhere.
     struct StepPresence
     {
@@ -154,8 +164,11 @@
 
     // Placement.
     void place(Instant now, std::vector<SchedulerAction> &out);
-    void placePool(ServiceId pool, Instant now, std::vector<SchedulerAction> &out);
-    std::vector<Candidate> candidates(ServiceId pool, Instant now);
+    void placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
+    std::vector<Candidate> candidates(const PoolState &pool, Instant now) const;
+    bool hasTasksToStart(const Candidate &candidate) const;
+    void groupWorkersByPool();
+    void groupJobsByPool();
     void placeStep(const Candidate &candidate, Instant now, std::vector<SchedulerAction> &out);
     void requestAdvice(const Candidate &candidate, Instant now, std::vector<SchedulerAction> &out);
     bool placeTask(TrackedJob &job, Occurrence &occurrence, int step, int index, Instant now,
@@ -173,8 +186,9 @@
     bool mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const;
     JobRankInputs rankInputsOf(const TrackedJob &job, const Occurrence &occurrence,
                                Instant now) const;
-    Millis remainingCriticalPath(const TrackedJob &job, const Occurrence &occurrence) const;
-    double remainingWork(const TrackedJob &job, const Occurrence &occurrence) const;
+    /// Without `occurrence`, the following functions return the figures of the whole job.
+    Millis remainingCriticalPath(const TrackedJob &job, const Occurrence *occurrence) const;
+    double remainingWork(const TrackedJob &job, const Occurrence *occurrence) const;
     std::int64_t nextRunNumber(std::int64_t last) const;
     JobProgress progressOf(const TrackedJob &job) const;
 
@@ -186,6 +200,8 @@
     std::map<WorkerId, WorkerState> m_workers;
     std::map<JobId, TrackedJob> m_jobs;
     std::set<JobId> m_active; ///< Jobs that have not ended.
+    std::set<JobId> m_recurring; ///< Those of them that run at several times.
+    std::map<ServiceId, PoolState> m_pools;
     bool m_needsPlacement = true; ///< Something changed since the last placement.
     Instant m_lastPlacement;
     CongestionWindow m_startWindow; ///< Limits the start commands in flight.
@@ -196,6 +212,7 @@
     std::map<ServiceId, ArrivalRate> m_arrivals; ///< Of work, in core-seconds per second.
     TicketCache m_tickets;
     std::set<JobId> m_dirty; ///< Jobs with progress to be recorded.
+    JobId m_firstDirty; ///< The next write begins with this job, so that none waits forever.
     std::vector<JobId> m_expiredJobs; ///< Ended jobs whose records are to be deleted.
     std::uint64_t m_batch = 0; ///< The number of the last write.
     std::optional<std::uint64_t> m_batchInFlight;
--- a/include/oleanderhall/scheduling/schedulersettings.h
+++ b/include/oleanderhall/scheduling/schedulersettings.h
@@ -43,9 +43,8 @@
     Millis maxRecordDelay{400};
     /// The shortest time between two transactions that record progress; each is charged for.
     Millis recordInterval{50};
-    /// Jobs per transaction. Each job takes up to three of the 100 entries that the platform
-    /// allows, and the row of the owner's term takes one.
-    std::size_t maxJobsPerWrite = 30;
+    /// Jobs per write of progress, which the caller splits into transactions.
+    std::size_t maxJobsPerWrite = 240;
     /// The fraction by which a worker's clock may run slow; the platform specifies 2 %.
     double clockDrift = 0.02;
 };
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -32,6 +32,7 @@
         if (found != m_queues.end() && job.spec.config <= version)
             job.spec.queue = found->second;
     }
+    groupJobsByPool();
     m_needsPlacement = true;
 }
 
@@ -60,6 +61,7 @@
         return !entry.second.isListed && entry.second.runs.empty()
             && (entry.second.hasTerminated || !entry.second.isSynced);
     });
+    groupWorkersByPool();
     m_needsPlacement = true;
 }
 
@@ -87,10 +89,13 @@
         return;
     }
     m_active.insert(id);
+    m_pools[job.spec.queue.service].jobs.insert(id);
+    if (job.spec.occurrences > 0)
+        m_recurring.insert(id);
     if (job.spec.occurrences == 0) {
         openOccurrence(job, 0);
         if (!job.isLongRunning()) {
-            const double work = remainingWork(job, job.occurrences[0]);
+            const double work = remainingWork(job, &job.occurrences[0]);
             m_runTimes.observeWork(job.spec.queue.name, work);
             m_arrivals[job.spec.queue.service].add(work, accepted);
         }
@@ -140,7 +145,7 @@
 
 void Scheduler::openOccurrences(std::int64_t wallClockMs)
 {
-    for (const JobId id : m_active) {
+    for (const JobId id : m_recurring) {
         TrackedJob &job = m_jobs.at(id);
         while (static_cast<int>(job.occurrences.size()) < job.spec.occurrences) {
             const auto next = static_cast<int>(job.occurrences.size());
@@ -195,6 +200,8 @@
     job.state = state;
     job.ended = now;
     m_active.erase(job.spec.id);
+    m_recurring.erase(job.spec.id);
+    m_pools[job.spec.queue.service].jobs.erase(job.spec.id);
     m_tickets.removeJob(job.spec.id);
     stopJob(job, now);
     markDirty(job);
--- a/src/scheduling/schedulerdemand.cpp
+++ b/src/scheduling/schedulerdemand.cpp
@@ -48,9 +48,9 @@
                 }
                 continue;
             }
-            const double left = remainingWork(job, occurrence);
+            const double left = remainingWork(job, &occurrence);
             const double criticalPath = std::chrono::duration<double>(
-                                            remainingCriticalPath(job, occurrence))
+                                            remainingCriticalPath(job, &occurrence))
                                             .count();
             const double allowance = std::chrono::duration<double>(job.spec.queue.allowance)
                                          .count();
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -14,8 +14,12 @@
 constexpr std::size_t kMaxUnplacedSteps = 40;
 constexpr double kMilliPerUnit = 1000;
 // Per pool. After a take-over, released jobs may have to wait until earlier leases have expired, so
-// a higher limit would delay more jobs.
-constexpr std::size_t kMaxJobsReleasedAhead = 12;
+// a higher limit would delay more jobs. A large pool starts more jobs while a release is recorded.
+constexpr std::size_t kMinJobsReleasedAhead = 12;
+constexpr std::size_t kWorkersPerJobReleasedAhead = 4;
+// Ranking the steps of a backlog takes time in proportion to their number. The order is used for a
+// few times as long, so that it takes a bounded share of the processor time.
+constexpr std::chrono::microseconds kRankingIntervalPerStep{20};
 constexpr std::size_t kMaxWorkersPerAdvice = 12; // each worker adds to the response time
 
 // Scores of chooseWorker(). The share of free cores is between 0 and 1.
@@ -64,7 +68,7 @@
         || isSynced(job.spec.queue.service);
 }
 
-Millis Scheduler::remainingCriticalPath(const TrackedJob &job, const Occurrence &occurrence) const
+Millis Scheduler::remainingCriticalPath(const TrackedJob &job, const Occurrence *occurrence) const
 {
     std::vector<Millis> ends(job.spec.steps.size(), Millis(0));
     Millis longest{0};
@@ -73,19 +77,20 @@
         Millis begin{0};
         for (const int earlier : spec.after)
             begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-        const bool isDone = occurrence.steps[step].isComplete();
+        const bool isDone = occurrence && occurrence->steps[step].isComplete();
         ends[step] = begin + (isDone ? Millis(0) : m_runTimes.expected(job.spec.queue.name, spec));
         longest = std::max(longest, ends[step]);
     }
     return longest;
 }
 
-double Scheduler::remainingWork(const TrackedJob &job, const Occurrence &occurrence) const
+double Scheduler::remainingWork(const TrackedJob &job, const Occurrence *occurrence) const
 {
     double work = 0;
     for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
         const StepSpec &spec = job.spec.steps[step];
-        const auto left = static_cast<double>(spec.count - occurrence.steps[step].doneTasks);
+        const int done = occurrence ? occurrence->steps[step].doneTasks : 0;
+        const auto left = static_cast<double>(spec.count - done);
         work += left * coreSeconds(spec, m_runTimes.expected(job.spec.queue.name, spec));
     }
     return work;
@@ -100,37 +105,43 @@
                          .allowance = job.spec.queue.allowance};
     if (inputs.isLongRunning)
         return inputs;
-    Occurrence untouched;
-    untouched.steps.resize(job.spec.steps.size());
-    for (TrackedStep &step : untouched.steps)
-        step.tasks.resize(1); // one open task, so that the step is not complete
     inputs.age = std::chrono::duration_cast<Millis>(now - job.accepted);
-    inputs.criticalPath = remainingCriticalPath(job, untouched);
-    inputs.criticalPathLeft = remainingCriticalPath(job, occurrence);
-    inputs.totalWork = remainingWork(job, untouched);
-    inputs.workLeft = remainingWork(job, occurrence);
+    inputs.criticalPath = remainingCriticalPath(job, nullptr);
+    inputs.criticalPathLeft = remainingCriticalPath(job, &occurrence);
+    inputs.totalWork = remainingWork(job, nullptr);
+    inputs.workLeft = remainingWork(job, &occurrence);
     inputs.meanWork = m_runTimes.meanWork(job.spec.queue.name);
     return inputs;
 }
 
-std::vector<Scheduler::Candidate> Scheduler::candidates(ServiceId pool, Instant now)
+bool Scheduler::hasTasksToStart(const Candidate &candidate) const
+{
+    const auto found = m_jobs.find(candidate.job);
+    if (found == m_jobs.end() || isFinal(found->second.state))
+        return false;
+    const TrackedJob &job = found->second;
+    const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(candidate.occurrence)];
+    const TrackedStep &step = occurrence.steps[static_cast<std::size_t>(candidate.step)];
+    return step.doneTasks + step.placedTasks < static_cast<int>(step.tasks.size())
+        && areDependenciesDone(job, occurrence, candidate.step);
+}
+
+std::vector<Scheduler::Candidate> Scheduler::candidates(const PoolState &pool, Instant now) const
 {
     std::vector<Candidate> result;
-    for (const JobId id : m_active) {
-        TrackedJob &job = m_jobs.at(id);
-        if (job.spec.queue.service != pool)
-            continue;
-        for (Occurrence &occurrence : job.occurrences) {
+    for (const JobId id : pool.jobs) {
+        const TrackedJob &job = m_jobs.at(id);
+        for (int number = 0; number < static_cast<int>(job.occurrences.size()); ++number) {
+            const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(number)];
+            std::optional<JobRank> rank; // the same for all steps
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
-                const TrackedStep &trackedStep = occurrence.steps[static_cast<std::size_t>(step)];
-                if (trackedStep.doneTasks + trackedStep.placedTasks
-                        >= static_cast<int>(trackedStep.tasks.size())
-                    || !areDependenciesDone(job, occurrence, step))
+                Candidate candidate{.job = id, .occurrence = number, .step = step};
+                if (!hasTasksToStart(candidate))
                     continue;
-                result.push_back({.job = &job,
-                                  .occurrence = &occurrence,
-                                  .step = step,
-                                  .rank = rankOf(rankInputsOf(job, occurrence, now))});
+                if (!rank)
+                    rank = rankOf(rankInputsOf(job, occurrence, now));
+                candidate.rank = *rank;
+                result.push_back(candidate);
             }
         }
     }
@@ -139,6 +150,25 @@
     return result;
 }
 
+void Scheduler::groupJobsByPool()
+{
+    for (auto &[id, pool] : m_pools) {
+        pool.jobs.clear();
+        pool.ranked.clear();
+        pool.nextRanking = {};
+    }
+    for (const JobId id : m_active)
+        m_pools[m_jobs.at(id).spec.queue.service].jobs.insert(id);
+}
+
+void Scheduler::groupWorkersByPool()
+{
+    for (auto &[id, pool] : m_pools)
+        pool.workers.clear();
+    for (auto &[id, worker] : m_workers)
+        m_pools[worker.info.pool].workers.push_back(&worker);
+}
+
 void Scheduler::place(Instant now, std::vector<SchedulerAction> &out)
 {
     constexpr Millis kMaxPlacementInterval{100}; // time limits pass without any event
@@ -146,15 +176,17 @@
         return;
     m_needsPlacement = false;
     m_lastPlacement = now;
-    std::set<ServiceId> busy;
-    for (const JobId id : m_active)
-        busy.insert(m_jobs.at(id).spec.queue.service);
     // Starts with the pool after the one where the start window was full last time, so that every
     // pool gets its share of the start commands.
-    std::vector<ServiceId> pools(busy.lower_bound(m_firstPool), busy.end());
-    pools.insert(pools.end(), busy.begin(), busy.lower_bound(m_firstPool));
+    std::vector<ServiceId> pools;
+    for (const auto &[id, pool] : m_pools) {
+        if (!pool.jobs.empty())
+            pools.push_back(id);
+    }
+    std::rotate(pools.begin(), std::lower_bound(pools.begin(), pools.end(), m_firstPool),
+                pools.end());
     for (auto pool = pools.begin(); pool != pools.end(); ++pool) {
-        placePool(*pool, now, out);
+        placePool(m_pools.at(*pool), now, out);
         if (!m_startWindow.isOpen()) {
             m_firstPool = pool + 1 == pools.end() ? pools.front() : *(pool + 1);
             m_needsPlacement = true;
@@ -163,42 +195,63 @@
     }
 }
 
-void Scheduler::placePool(ServiceId pool, Instant now, std::vector<SchedulerAction> &out)
+void Scheduler::placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out)
 {
+    if (now >= pool.nextRanking) {
+        pool.ranked = candidates(pool, now);
+        pool.nextRanking = now + pool.ranked.size() * kRankingIntervalPerStep;
+    } else {
+        m_needsPlacement = true; // the order may lack steps that have become ready since
+    }
+    const std::size_t maxReleasing = std::max(kMinJobsReleasedAhead,
+                                              pool.workers.size() / kWorkersPerJobReleasedAhead);
     std::size_t unplaced = 0;
     std::size_t releasing = 0;
-    for (const Candidate &candidate : candidates(pool, now)) {
-        TrackedJob &job = *candidate.job;
+    std::size_t kept = 0;
+    std::size_t index = 0;
+    for (; index < pool.ranked.size(); ++index) {
+        const Candidate candidate = pool.ranked[index];
+        if (!hasTasksToStart(candidate))
+            continue;
+        pool.ranked[kept++] = candidate;
+        TrackedJob &job = m_jobs.at(candidate.job);
         if (!job.isReleaseRecorded) {
             // Releases the next jobs before there is capacity for them, because they can't start
             // until the release is durable.
-            if (++releasing > kMaxJobsReleasedAhead)
+            if (++releasing > maxReleasing) {
+                ++index;
                 break;
+            }
             if (!job.isReleased) {
                 job.isReleased = true;
                 markDirty(job);
             }
             continue;
         }
-        if (!m_startWindow.isOpen())
-            break;
         const std::size_t before = out.size();
-        placeStep(candidate, now, out);
-        if (out.size() == before && ++unplaced >= kMaxUnplacedSteps)
+        if (m_startWindow.isOpen())
+            placeStep(candidate, now, out);
+        if (!m_startWindow.isOpen() || (out.size() == before && ++unplaced >= kMaxUnplacedSteps)) {
+            ++index;
             break;
+        }
     }
+    const auto begin = pool.ranked.begin();
+    pool.ranked.erase(begin + static_cast<std::ptrdiff_t>(kept),
+                      begin + static_cast<std::ptrdiff_t>(index));
 }
 
 void Scheduler::placeStep(const Candidate &candidate, Instant now,
                           std::vector<SchedulerAction> &out)
 {
-    TrackedJob &job = *candidate.job;
+    TrackedJob &job = m_jobs.at(candidate.job);
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(candidate.step)];
-    TrackedStep &step = candidate.occurrence->steps[static_cast<std::size_t>(candidate.step)];
+    Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(candidate.occurrence)];
+    TrackedStep &step = occurrence.steps[static_cast<std::size_t>(candidate.step)];
     if (job.spec.queue.advice)
         requestAdvice(candidate, now, out);
     if (spec.isGang) {
-        placeGang(job, *candidate.occurrence, candidate.step, now, out);
+        placeGang(job, occurrence, candidate.step, now, out);
         return;
     }
     for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
@@ -206,7 +259,7 @@
             return;
         if (!mayStart(job, step.tasks[static_cast<std::size_t>(index)], now))
             continue;
-        if (!placeTask(job, *candidate.occurrence, candidate.step, index, now, out))
+        if (!placeTask(job, occurrence, candidate.step, index, now, out))
             return;
     }
 }
@@ -215,15 +268,18 @@
 void Scheduler::requestAdvice(const Candidate &candidate, Instant now,
                               std::vector<SchedulerAction> &out)
 {
-    const TrackedJob &job = *candidate.job;
-    const TicketCache::StepKey key{job.spec.id, candidate.occurrence->number, candidate.step};
+    const TrackedJob &job = m_jobs.at(candidate.job);
+    const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(candidate.occurrence)];
+    const TicketCache::StepKey key{job.spec.id, occurrence.number, candidate.step};
     if (m_tickets.isRequestPending(key))
         return;
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(candidate.step)];
     AdviceRequest request{.job = key.job, .occurrence = key.occurrence, .step = key.step};
-    for (const auto &[id, worker] : m_workers) {
-        if (worker.info.pool != job.spec.queue.service || !worker.acceptsNewTasks(now)
-            || !spec.need.fitsInto(worker.freeCapacity()) || m_tickets.isDenied(key, id))
+    for (const WorkerState *candidateWorker : m_pools[job.spec.queue.service].workers) {
+        const WorkerState &worker = *candidateWorker;
+        const WorkerId id = worker.info.id;
+        if (!worker.acceptsNewTasks(now) || !spec.need.fitsInto(worker.freeCapacity())
+            || m_tickets.isDenied(key, id))
             continue;
         if (!m_tickets.find(key, id, now).empty())
             return; // one valid ticket is enough to place a task
@@ -298,9 +354,10 @@
         need.milliCores = 0;
     WorkerState *best = nullptr;
     double bestScore = 0;
-    for (auto &[id, worker] : m_workers) {
-        if (worker.info.pool != job.spec.queue.service || !worker.acceptsNewTasks(now)
-            || !need.fitsInto(worker.freeCapacity())
+    for (WorkerState *candidate : m_pools[job.spec.queue.service].workers) {
+        WorkerState &worker = *candidate;
+        const WorkerId id = worker.info.id;
+        if (!worker.acceptsNewTasks(now) || !need.fitsInto(worker.freeCapacity())
             || (!spec.requiredLabel.empty() && !worker.info.hasLabel(spec.requiredLabel)))
             continue;
         if (job.spec.queue.advice
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -50,9 +50,11 @@
         if (worker.clock.allLeasesExpired(now, m_settings.stopTimeout + kLeaseExpirySlack))
             dropAllRuns(worker, "lease expired on an unresponsive worker", now);
     }
-    std::erase_if(m_workers, [](const auto &entry) {
+    const std::size_t removed = std::erase_if(m_workers, [](const auto &entry) {
         return !entry.second.isListed && entry.second.runs.empty() && entry.second.hasTerminated;
     });
+    if (removed > 0)
+        groupWorkersByPool();
 }
 
 void Scheduler::sendCommands(WorkerState &worker, Instant now, std::vector<SchedulerAction> &out)
@@ -142,9 +144,12 @@
         return;
     ProgressWrite write{.batch = ++m_batch};
     m_batchJobs.clear();
-    for (const JobId id : m_dirty) {
-        if (write.updates.size() >= m_settings.maxJobsPerWrite)
-            break;
+    for (auto next = m_dirty.lower_bound(m_firstDirty);
+         write.updates.size() < std::min(m_settings.maxJobsPerWrite, m_dirty.size()); ++next) {
+        if (next == m_dirty.end())
+            next = m_dirty.begin();
+        const JobId id = *next;
+        m_firstDirty = JobId{id.value + 1};
         TrackedJob &job = m_jobs.at(id);
         job.isDirty = false;
         job.isLazilyDirty = false;
