--- a/include/oleanderhall/maintenance/hostplanner.h
+++ b/include/oleanderhall/maintenance/hostplanner.h
@@ -90,6 +90,7 @@
     struct Host
     {
         HostInfo info;
+        WorkerUsage usage; ///< Of its worker, as of the current plan.
         bool isCommandInFlight = false;
         ServiceId targetPool; ///< Target of the last command; empty for maintenance.
         Instant nextCommandAt; ///< The earliest time of the next command.
@@ -114,14 +115,13 @@
     };
 
     bool acceptsCommands(const Host &host, Instant now) const;
-    void planWaves(const UsageLookup &usageOf, Instant now, Plan &plan);
-    void planMoves(const PoolDemands &demands, const UsageLookup &usageOf, Instant now, Plan &plan);
+    void planWaves(Instant now, Plan &plan);
+    void planMoves(const PoolDemands &demands, Instant now, Plan &plan);
     std::map<ServiceId, PoolState> poolStates(const PoolDemands &demands, Instant now) const;
     /// Returns whether `pool` has a host that is in a wave and still needs a command for it.
     bool awaitsMaintenance(ServiceId pool) const;
-    Host *findFreeHost(ServiceId from, ServiceId to, const UsageLookup &usageOf, Instant now);
-    void cordonLeastLoaded(ServiceId pool, int count, const UsageLookup &usageOf, Instant now,
-                           Plan &plan);
+    Host *findFreeHost(ServiceId from, ServiceId to, Instant now);
+    void cordonLeastLoaded(ServiceId pool, int count, Instant now, Plan &plan);
     void addCommand(Host &host, HostCommand command, Plan &plan);
 
     HostPlannerSettings m_settings;
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -147,6 +147,7 @@
     void markLazilyDirty(TrackedJob &job, Instant now);
     TrackedTask *findTask(const TaskId &id);
     TrackedStep *findStep(const TaskId &id);
+    const TrackedStep *findStep(const TaskId &id) const;
     const StepSpec *findSpec(const TaskId &id) const;
     void logDecision(Decision decision);
 
--- a/src/maintenance/hostplanner.cpp
+++ b/src/maintenance/hostplanner.cpp
@@ -139,12 +139,14 @@
     Plan plan;
     if (!m_hasHostList)
         return plan;
-    planWaves(usageOf, now, plan);
-    planMoves(demands, usageOf, now, plan);
+    for (auto &[id, host] : m_hosts)
+        host.usage = usageOf(host.info.worker);
+    planWaves(now, plan);
+    planMoves(demands, now, plan);
     return plan;
 }
 
-void HostPlanner::planWaves(const UsageLookup &usageOf, Instant now, Plan &plan)
+void HostPlanner::planWaves(Instant now, Plan &plan)
 {
     // mayInterrupt considers each host alone, so a plan interrupts the tasks of at most one host,
     // whichever wave it belongs to, and then evacuates none.
@@ -179,7 +181,7 @@
         // interrupted, then the others, the least loaded first.
         std::vector<std::pair<double, Host *>> ranked;
         for (Host *host : remaining) {
-            const WorkerUsage usage = usageOf(host->info.worker);
+            const WorkerUsage &usage = host->usage;
             plan.awaitingMaintenance.insert(host->info.worker);
             const bool isFree = usage.isEmpty || (usage.batchCores == 0 && usage.mayInterrupt);
             ranked.emplace_back(isFree ? (usage.isEmpty ? 0 : 1) : 2 + usage.batchCores, host);
@@ -198,7 +200,7 @@
                 break;
             if (!acceptsCommands(*host, now))
                 continue;
-            const WorkerUsage usage = usageOf(host->info.worker);
+            const WorkerUsage &usage = host->usage;
             // A worker whose state has not been read may run tasks, so its host must wait. A host
             // without a worker is off and needs no such check.
             if (!usage.isKnown && !host->info.worker.empty())
@@ -270,8 +272,7 @@
     return states;
 }
 
-HostPlanner::Host *HostPlanner::findFreeHost(ServiceId from, ServiceId to,
-                                             const UsageLookup &usageOf, Instant now)
+HostPlanner::Host *HostPlanner::findFreeHost(ServiceId from, ServiceId to, Instant now)
 {
     for (auto &[id, host] : m_hosts) {
         if (host.info.pool != from || !acceptsCommands(host, now)
@@ -279,21 +280,20 @@
             continue;
         if (from == m_sparePool)
             return &host;
-        const WorkerUsage usage = usageOf(host.info.worker);
+        const WorkerUsage &usage = host.usage;
         if (usage.isKnown && usage.isEmpty)
             return &host;
     }
     return nullptr;
 }
 
-void HostPlanner::cordonLeastLoaded(ServiceId pool, int count, const UsageLookup &usageOf,
-                                    Instant now, Plan &plan)
+void HostPlanner::cordonLeastLoaded(ServiceId pool, int count, Instant now, Plan &plan)
 {
     std::vector<std::pair<double, WorkerId>> ranked;
     for (const auto &[id, host] : m_hosts) {
         if (host.info.pool != pool || !acceptsCommands(host, now))
             continue;
-        const WorkerUsage usage = usageOf(host.info.worker);
+        const WorkerUsage &usage = host.usage;
         if (usage.isKnown && usage.batchCores > 0)
             ranked.emplace_back(usage.batchCores, host.info.worker);
     }
@@ -305,8 +305,7 @@
     }
 }
 
-void HostPlanner::planMoves(const PoolDemands &demands, const UsageLookup &usageOf, Instant now,
-                            Plan &plan)
+void HostPlanner::planMoves(const PoolDemands &demands, Instant now, Plan &plan)
 {
     if (m_sparePool.empty() && m_isSpareByPool.size() < 2)
         return;
@@ -331,7 +330,7 @@
             PoolState &donor = states[source];
             while (recipient.currentHosts < recipient.desiredHosts
                    && (source == m_sparePool || donor.currentHosts > donor.desiredHosts)) {
-                Host *host = findFreeHost(source, pool, usageOf, now);
+                Host *host = findFreeHost(source, pool, now);
                 if (!host)
                     break;
                 ++recipient.currentHosts;
@@ -347,7 +346,7 @@
                 cordonLeastLoaded(source,
                                   std::min(donor.currentHosts - donor.desiredHosts,
                                            recipient.desiredHosts - recipient.currentHosts),
-                                  usageOf, now, plan);
+                                  now, plan);
         }
     }
     if (m_sparePool.empty())
@@ -363,7 +362,7 @@
         if (now - since < m_settings.surplusTime)
             continue;
         while (state.currentHosts > state.desiredHosts) {
-            Host *host = findFreeHost(pool, m_sparePool, usageOf, now);
+            Host *host = findFreeHost(pool, m_sparePool, now);
             if (!host)
                 break;
             --state.currentHosts;
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -17,7 +17,9 @@
 
 constexpr Millis kHostListInterval{1500};
 constexpr Millis kShortHostListInterval{300}; // while hosts are moved or maintained
-constexpr Millis kPlanInterval{60};
+// Added per host: reading the list takes time in proportion to its length.
+constexpr std::chrono::microseconds kListIntervalPerHost{800};
+constexpr Millis kPlanInterval{100};
 constexpr Millis kRecordInterval{300};
 constexpr Millis kTableTimeout{1500};
 constexpr Millis kCommandRecordTimeout{700}; // commands not recorded in time are planned again
@@ -186,7 +188,10 @@
             self->applyHostList(*hosts, requestedAt);
         else
             logWarning("host_list_not_read");
-        self->m_listTimer.expires_after(self->hasPendingChanges() ? kShortHostListInterval
+        const auto shortInterval = kShortHostListInterval
+            + self->m_workerOfHost.size() * kListIntervalPerHost;
+        self->m_listTimer.expires_after(self->hasPendingChanges() ? std::min<Instant::duration>(
+                                            shortInterval, kHostListInterval)
                                                                   : kHostListInterval);
         self->m_listTimer.async_wait([weak](const boost::system::error_code &error) {
             const auto strong = weak.lock();
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -267,11 +267,16 @@
 }
 
 TrackedStep *Scheduler::findStep(const TaskId &id)
+{
+    return const_cast<TrackedStep *>(std::as_const(*this).findStep(id));
+}
+
+const TrackedStep *Scheduler::findStep(const TaskId &id) const
 {
     const auto found = m_jobs.find(id.job);
     if (found == m_jobs.end())
         return nullptr;
-    for (Occurrence &occurrence : found->second.occurrences) {
+    for (const Occurrence &occurrence : found->second.occurrences) {
         if (occurrence.number == id.occurrence && id.step >= 0
             && id.step < static_cast<int>(occurrence.steps.size()))
             return &occurrence.steps[static_cast<std::size_t>(id.step)];
--- a/src/scheduling/schedulerbudget.cpp
+++ b/src/scheduling/schedulerbudget.cpp
@@ -13,22 +13,35 @@
 Scheduler::StepPresence Scheduler::presenceOf(const TaskId &id, WorkerId here) const
 {
     StepPresence presence;
-    for (const auto &[workerId, worker] : m_workers) {
-        for (const WorkerRun &peer : worker.runs) {
-            if (peer.task.job != id.job || peer.task.occurrence != id.occurrence
-                || peer.task.step != id.step)
+    const auto isReady = [](const WorkerState &worker, const WorkerRun &run) {
+        return run.phase == WorkerRun::Phase::Running && run.progressPercent >= kReadyPercent
+            && worker.failedPolls == 0 && !worker.isTerminating;
+    };
+    if (const auto found = m_workers.find(here); found != m_workers.end()) {
+        for (const WorkerRun &run : found->second.runs) {
+            if (run.task.job != id.job || run.task.occurrence != id.occurrence
+                || run.task.step != id.step)
                 continue;
-            const bool isReady = peer.phase == WorkerRun::Phase::Running
-                && peer.progressPercent >= kReadyPercent && worker.failedPolls == 0
-                && !worker.isTerminating;
-            if (workerId != here) {
-                presence.elsewhere += isReady ? 1 : 0;
-                continue;
-            }
-            presence.here += isReady ? 1 : 0;
+            presence.here += isReady(found->second, run) ? 1 : 0;
             // A run may have become ready since the last poll. One that is being stopped counts as
             // missing already, because this owner's stop command ends it.
-            presence.possiblyHere += peer.phase != WorkerRun::Phase::Stopping ? 1 : 0;
+            presence.possiblyHere += run.phase != WorkerRun::Phase::Stopping ? 1 : 0;
+        }
+    }
+    const TrackedStep *step = findStep(id);
+    if (!step)
+        return presence;
+    for (const TrackedTask &task : step->tasks) {
+        if (!task.isPlaced || task.worker == here)
+            continue;
+        const auto worker = m_workers.find(task.worker);
+        if (worker == m_workers.end())
+            continue;
+        const auto index = static_cast<int>(&task - step->tasks.data());
+        const TaskId peer{id.job, id.occurrence, id.step, index};
+        for (const WorkerRun &run : worker->second.runs) {
+            if (run.task == peer && run.run == task.lastRun && isReady(worker->second, run))
+                ++presence.elsewhere;
         }
     }
     return presence;
