Command no host whose worker or last move is not known from a later list

Cause: a host that had just moved has no worker in the planner until a later list names it. A move without an answer left the host in its old pool for the planner, so that it could be moved again from the pool that it had joined; the worker of an unanswered command counted as present again at once.

Both new tests fail without the two conditions.

--- a/include/oleanderhall/maintenance/hostplanner.h
+++ b/include/oleanderhall/maintenance/hostplanner.h
@@ -64,7 +64,13 @@
     /// Replaces the known hosts with a complete list from the platform. As the list may predate the
     /// last command to a host, the host's entry is kept while the command is in flight, and during
     /// its move or maintenance if the list still shows the host as up.
-    void updateHosts(const std::vector<HostInfo> &hosts, Instant now);
+    void updateHosts(const std::vector<HostInfo> &hosts, Instant now)
+    {
+        updateHosts(hosts, now, now);
+    }
+    /// The same for a list that was requested at `requested`. A host whose last move has an unknown
+    /// outcome gets no command until a later list shows its pool.
+    void updateHosts(const std::vector<HostInfo> &hosts, Instant now, Instant requested);
     /// Plans no commands to `host` before `until`. A new owner calls it for hosts to which an
     /// earlier owner may just have sent a command.
     void pause(HostId host, Instant until) { m_pausedUntil[host] = until; }
@@ -95,6 +101,8 @@
         ServiceId targetPool; ///< Target of the last command; empty for maintenance.
         Instant nextCommandAt; ///< The earliest time of the next command.
         Instant unavailableUntil; ///< The expected end of the current move or maintenance.
+        /// When the outcome of its last move was found to be unknown, until a later list is read.
+        std::optional<Instant> unknownMoveAt;
         std::set<ServiceId> rejectedPools; ///< Pools to which a move was rejected as invalid.
     };
     struct WaveState
--- a/src/maintenance/hostplanner.cpp
+++ b/src/maintenance/hostplanner.cpp
@@ -28,7 +28,7 @@
     }
 }
 
-void HostPlanner::updateHosts(const std::vector<HostInfo> &hosts, Instant now)
+void HostPlanner::updateHosts(const std::vector<HostInfo> &hosts, Instant now, Instant requested)
 {
     std::set<HostId> listed;
     for (const HostInfo &info : hosts) {
@@ -38,6 +38,8 @@
         if (host.isCommandInFlight
             || (now < host.unavailableUntil && info.state == HostInfo::State::Up))
             continue;
+        if (host.unknownMoveAt && requested > *host.unknownMoveAt)
+            host.unknownMoveAt.reset();
         host.info = info;
     }
     std::erase_if(m_hosts, [&](const auto &entry) { return !listed.contains(entry.first); });
@@ -84,7 +86,7 @@
 bool HostPlanner::acceptsCommands(const Host &host, Instant now) const
 {
     const auto paused = m_pausedUntil.find(host.info.id);
-    return host.info.state == HostInfo::State::Up && !host.isCommandInFlight
+    return host.info.state == HostInfo::State::Up && !host.isCommandInFlight && !host.unknownMoveAt
         && now >= host.nextCommandAt && now >= host.unavailableUntil
         && (paused == m_pausedUntil.end() || now >= paused->second);
 }
@@ -128,6 +130,8 @@
         }
         return;
     }
+    if (result == HostCommandResult::Unknown && command.isMove())
+        host.unknownMoveAt = now;
     if (result == HostCommandResult::Invalid && command.isMove())
         host.rejectedPools.insert(command.targetPool);
     host.nextCommandAt = now + m_settings.commandRetryDelay;
@@ -201,9 +205,10 @@
             if (!acceptsCommands(*host, now))
                 continue;
             const WorkerUsage &usage = host->usage;
-            // A worker whose state has not been read may run tasks, so its host must wait. A host
-            // without a worker is off and needs no such check.
-            if (!usage.isKnown && !host->info.worker.empty())
+            // A worker whose state has not been read may run tasks, so its host must wait. Spare
+            // hosts are off and have no worker; elsewhere the list may lack a new worker.
+            const bool isOff = host->info.worker.empty() && host->info.pool == m_sparePool;
+            if (!usage.isKnown && !isOff)
                 continue;
             if (rank < 2 && usage.mayInterrupt) {
                 if (!usage.isEmpty && isInterrupting)
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -204,7 +204,7 @@
 void HostController::applyHostList(const std::vector<HostInfo> &hosts, Instant requestedAt)
 {
     const Instant now = monotonicNow();
-    m_planner.updateHosts(hosts, now);
+    m_planner.updateHosts(hosts, now, requestedAt);
     for (const WorkerEndVerifier::Verdict &verdict : m_endVerifier.verify(hosts, requestedAt)) {
         if (verdict.hasEnded) {
             m_scheduler.onWorkerTerminated(verdict.worker, now);
@@ -312,7 +312,7 @@
               {{"host", command.host.name()}, {"result", nameOf(result)}});
     m_planner.onCommandResult(command, result, now);
     // The next list of hosts shows whether this command ended the worker.
-    if (result == HostCommandResult::Done)
+    if (result == HostCommandResult::Done || result == HostCommandResult::Unknown)
         m_endVerifier.commandDone(command.host, worker, now);
     else
         m_scheduler.setTerminating(worker, false);
--- a/tests/maintenance/hostplanner_test.cpp
+++ b/tests/maintenance/hostplanner_test.cpp
@@ -168,6 +168,43 @@
     CHECK(plan(20, 20).commands.size() == 1);
 }
 
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_workerNotListedYet_isNotTakenForOff", "[hosts]")
+{
+    // Guards against a violation of the availability budget: after a move, the list of hosts was
+    // late, so a host whose new worker ran tasks already was maintained as if it were off.
+    add("b4", kBusy, HostInfo::State::Up);
+    hosts.back().worker = {};
+    planner.updateHosts(hosts, now);
+    planner.addWave(wave({"b4", "s0"}, 2), now);
+    const HostPlanner::Plan result = plan(20, 20);
+    REQUIRE(result.commands.size() == 1);
+    CHECK(result.commands[0].host == HostId("s0"));
+}
+
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_moveWithUnknownOutcome_waitsForANewerList",
+                 "[hosts]")
+{
+    // Guards against a move that ends running tasks: a host that was listed as a spare had joined a
+    // pool by a move without an answer, and was then moved to another pool.
+    const HostPlanner::Plan first = plan(50, 30);
+    REQUIRE(first.commands.size() == 2);
+    answer(first, HostCommandResult::Unknown);
+    const Instant answered = now;
+    now += Millis(500);
+    planner.updateHosts(hosts, now, answered - Millis(100));
+    CHECK(moves(plan(30, 100), kCalm) == 2); // only the other two spares
+    for (HostInfo &host : hosts) {
+        if (host.id == first.commands[0].host || host.id == first.commands[1].host)
+            host.pool = kBusy;
+    }
+    now += Millis(500);
+    planner.updateHosts(hosts, now, answered + Millis(100));
+    for (const HostCommand &command : plan(50, 100).commands) {
+        CHECK(command.host != first.commands[0].host);
+        CHECK(command.host != first.commands[1].host);
+    }
+}
+
 TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_budgetForbids_waitsWithMaintenance", "[hosts]")
 {
     planner.addWave(wave({"b0"}, 1), now);
