--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -72,12 +72,22 @@
 
 void HttpClient::close()
 {
+    m_isClosed = true;
     for (const auto &connection : m_connections)
         connection->stream.close();
+    asio::post(m_io, [self = shared_from_this()] { self->dispatchQueued(); });
 }
 
 void HttpClient::dispatchQueued()
 {
+    while (m_isClosed && !m_queue.empty()) {
+        const Pending pending = std::move(m_queue.front());
+        m_queue.pop_front();
+        // A retried call has been sent before.
+        pending.done({.outcome = pending.isRetry ? HttpResult::Outcome::Unknown
+                                                 : HttpResult::Outcome::NotSent,
+                      .sent = pending.sent});
+    }
     while (!m_queue.empty()) {
         std::shared_ptr<Connection> chosen;
         for (const auto &connection : m_connections) {
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -59,8 +59,8 @@
 
     /// Sends `call` and calls `done` exactly once, never before send() returns.
     void send(HttpCall call, Callback done);
-    /// Closes all connections. Calls on them end as Unknown or NotSent, unless they are sent again;
-    /// queued calls are still sent.
+    /// Closes all connections for good. Calls on them end as Unknown or NotSent; queued and later
+    /// calls end as NotSent.
     void close();
     /// Returns the number of connections opened so far, including failed attempts.
     std::uint64_t connectionsOpened() const { return m_connectionsOpened; }
@@ -88,6 +88,7 @@
     std::deque<Pending> m_queue;
     std::vector<std::shared_ptr<Connection>> m_connections;
     std::uint64_t m_connectionsOpened = 0;
+    bool m_isClosed = false;
 };
 
 } // namespace oleanderhall
--- a/src/node/fleetownerloading.cpp
+++ b/src/node/fleetownerloading.cpp
@@ -180,6 +180,11 @@
         return;
     m_scheduler.setWorkers(m_workerDirectory.workers(), monotonicNow());
     m_areWorkersListed = true;
+    // Each move of a host ends a worker, whose connections would stay open.
+    m_workerClient.disconnectUnused([this](WorkerId id) {
+        const auto worker = m_scheduler.workers().find(id);
+        return worker != m_scheduler.workers().end() && !worker->second.hasTerminated;
+    });
     scheduleStep();
 }
 
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+const std::string kWorkerAddress = "10.128.0.9:8080";
 const std::string kWorkerEntry =
     R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z1","version":"v1","slots":8,)"
     R"("state":"ready","capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],)"
@@ -87,6 +88,13 @@
           R"({"service":"s","address":"nowhere","zone":"z","state":"ready","capacity":{}})",
           R"({"service":"s","address":"1.1.1.1:1","zone":"z","state":"ready","capacity":4})"})
         CHECK_THROWS_AS(decodeWorker("i-1", entry), MalformedMessage);
+    for (const char *address : {"x:y", "10.0.0.1", "10.0.0.1:", "10.0.0.1:70000", ":80"}) {
+        std::string entry = kWorkerEntry;
+        const auto begin = entry.find(kWorkerAddress);
+        REQUIRE(begin != std::string::npos);
+        entry.replace(begin, kWorkerAddress.size(), address);
+        CHECK_THROWS_AS(decodeWorker("i-1", entry), MalformedMessage);
+    }
     survivesDamage(kWorkerEntry, [](const std::string &text) { decodeWorker("i-1", text); });
 }
 
