--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -133,6 +133,9 @@
             connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
             using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
             connection->stream.socket().set_option(UserTimeout(kUnackedTimeoutMs), ignored);
+            // Resets the connection when it is closed. A graceful close would let the kernel go on
+            // sending a call that has timed out.
+            connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
             self->write(connection);
         });
 }
--- a/tests/http/httpclient_test.cpp
+++ b/tests/http/httpclient_test.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <future>
+#include <optional>
 
 using namespace oleanderhall;
 using test::FakeUpstream;
@@ -36,6 +38,29 @@
 
 } // namespace
 
+TEST_CASE("HttpClient_callTimedOut_resetsItsConnection", "[http]")
+{
+    // Guards against commands that are carried out late: bytes held up by a partition are delivered
+    // when it ends, unless their sender has reset the connection.
+    std::promise<boost::system::error_code> ended;
+    FakeUpstream upstream([&ended](FakeUpstream::Socket &socket, const std::string &, int) {
+        char byte = 0;
+        boost::system::error_code error;
+        socket.read_some(boost::asio::buffer(&byte, 1), error);
+        ended.set_value(error);
+        return false;
+    });
+    boost::asio::io_context io{1};
+    const auto client = std::make_shared<HttpClient>(
+        io, "127.0.0.1:" + std::to_string(upstream.port()), 1);
+    std::optional<HttpResult::Outcome> outcome;
+    client->send({.method = "POST", .target = "/", .timeout = Millis(200)},
+                 [&outcome](const HttpResult &result) { outcome = result.outcome; });
+    io.run();
+    CHECK(outcome == HttpResult::Outcome::Unknown);
+    CHECK(ended.get_future().get() == boost::asio::error::connection_reset);
+}
+
 TEST_CASE_METHOD(HttpClientTest, "HttpClient_closed_endsQueuedCallsAsNotSent", "[http]")
 {
     // Guards against calls to a worker that has terminated: they were still sent, on a connection
