--- a/include/oleanderhall/maintenance/hostplanner.h
+++ b/include/oleanderhall/maintenance/hostplanner.h
@@ -134,7 +134,7 @@
 
     HostPlannerSettings m_settings;
     std::map<HostId, Instant> m_pausedUntil;
-    std::map<ServiceId, bool> m_isSpareByPool; ///< By pool: whether it is the spare pool.
+    std::set<ServiceId> m_pools; ///< All pools, the spare pool among them.
     ServiceId m_sparePool;
     std::map<HostId, Host> m_hosts;
     bool m_hasHostList = false;
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -126,10 +126,10 @@
     };
 
     // Handling of events.
-    WorkerState *findCommandedWorker(WorkerId id, CallResult result, Instant now);
-    std::pair<WorkerState *, WorkerRun *> findCommandedRun(WorkerId id, const TaskId &task,
-                                                           std::int64_t number, CallResult result,
-                                                           Instant now);
+    WorkerState *updateCommandedWorker(WorkerId id, CallResult result, Instant now);
+    std::pair<WorkerState *, WorkerRun *> updateCommandedRun(WorkerId id, const TaskId &task,
+                                                             std::int64_t number, CallResult result,
+                                                             Instant now);
     void handleStatus(WorkerState &worker, const WorkerStatus &status, Instant sent, Instant now);
     void handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now);
     void handleEndedRun(WorkerState &worker, const EndedRun &ended, Instant now);
@@ -155,8 +155,8 @@
     void openOccurrences(std::int64_t wallClockMs);
     void openOccurrence(TrackedJob &job, int number);
     void finishIfComplete(TrackedJob &job, Instant now);
-    void expireLeases(Instant now);
-    void findStalls(WorkerState &worker, Instant now);
+    void dropExpiredRuns(Instant now);
+    void stopStalledRuns(WorkerState &worker, Instant now);
     void adjustCpuLimits(WorkerState &worker, Instant now);
     void sendCommands(WorkerState &worker, Instant now, std::vector<SchedulerAction> &out);
     void sendPoll(WorkerState &worker, Instant now, std::vector<SchedulerAction> &out);
--- a/src/maintenance/hostplanner.cpp
+++ b/src/maintenance/hostplanner.cpp
@@ -19,10 +19,10 @@
 
 void HostPlanner::setPools(const std::vector<PoolConfig> &pools)
 {
-    m_isSpareByPool.clear();
+    m_pools.clear();
     m_sparePool = {};
     for (const PoolConfig &pool : pools) {
-        m_isSpareByPool[pool.service] = pool.isSpare;
+        m_pools.insert(pool.service);
         if (pool.isSpare)
             m_sparePool = pool.service;
     }
@@ -169,8 +169,9 @@
                 && (now < until->second || found->second.info.state != HostInfo::State::Up);
             // An earlier owner may just have sent a command to this host.
             const auto paused = m_pausedUntil.find(id);
-            const bool mayBeCommanded = paused != m_pausedUntil.end() && now < paused->second;
-            if (isCommanded || mayBeCommanded
+            const bool mayHaveEarlierCommand = paused != m_pausedUntil.end()
+                && now < paused->second;
+            if (isCommanded || mayHaveEarlierCommand
                 || found->second.info.state == HostInfo::State::Maintenance)
                 ++unavailable;
             if (!state.handledHosts.contains(id))
@@ -312,12 +313,12 @@
 
 void HostPlanner::planMoves(const PoolDemands &demands, Instant now, Plan &plan)
 {
-    if (m_sparePool.empty() && m_isSpareByPool.size() < 2)
+    if (m_sparePool.empty() && m_pools.size() < 2)
         return;
     std::map<ServiceId, PoolState> states = poolStates(demands, now);
     std::vector<std::pair<double, ServiceId>> poolsShortOfHosts;
     for (const auto &[pool, state] : states) {
-        if (pool != m_sparePool && m_isSpareByPool.contains(pool)
+        if (pool != m_sparePool && m_pools.contains(pool)
             && state.currentHosts < state.desiredHosts)
             poolsShortOfHosts.emplace_back(
                 static_cast<double>(state.currentHosts) / state.desiredHosts, pool);
@@ -327,7 +328,7 @@
         PoolState &recipient = states[pool];
         std::vector<ServiceId> sources{m_sparePool};
         for (const auto &[other, state] : states) {
-            if (other != m_sparePool && other != pool && m_isSpareByPool.contains(other)
+            if (other != m_sparePool && other != pool && m_pools.contains(other)
                 && state.currentHosts > state.desiredHosts)
                 sources.push_back(other);
         }
@@ -357,7 +358,7 @@
     if (m_sparePool.empty())
         return;
     for (auto &[pool, state] : states) {
-        const bool hasSurplus = pool != m_sparePool && m_isSpareByPool.contains(pool)
+        const bool hasSurplus = pool != m_sparePool && m_pools.contains(pool)
             && state.currentHosts > state.desiredHosts;
         if (!hasSurplus) {
             m_surplusSince.erase(pool);
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -266,7 +266,7 @@
         web::json::value record = web::json::value::object();
         if (m_owner && m_owner->isLoaded()) {
             web::json::value waiting = web::json::value::object();
-            for (const QueueLoad &load : m_owner->loadByQueue())
+            for (const QueueLoad &load : m_owner->queueLoads())
                 waiting[load.queue] = web::json::value(load.waitingJobs);
             record["waiting"] = waiting;
         }
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -94,7 +94,7 @@
     scheduleStep();
 }
 
-std::vector<QueueLoad> FleetOwner::loadByQueue() const
+std::vector<QueueLoad> FleetOwner::queueLoads() const
 {
     return m_isLoaded ? m_scheduler.queueLoads() : std::vector<QueueLoad>();
 }
--- a/src/node/fleetowner.h
+++ b/src/node/fleetowner.h
@@ -42,7 +42,7 @@
     /// Must be called after the configuration or the waves of the FleetView have changed.
     void viewChanged();
     /// Returns the number of waiting jobs of each queue; empty until the jobs are loaded.
-    std::vector<QueueLoad> loadByQueue() const;
+    std::vector<QueueLoad> queueLoads() const;
     bool isLoaded() const { return m_isLoaded; }
     /// Returns whether a fencing token row or a worker's refusal has shown that another process
     /// took over ownership.
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -20,7 +20,7 @@
 // Added per host: reading the list takes time in proportion to its length.
 constexpr std::chrono::microseconds kListIntervalPerHost{800};
 constexpr Millis kPlanInterval{100};
-constexpr Millis kRecordInterval{300};
+constexpr Millis kHandledHostsRecordInterval{300};
 constexpr Millis kTableTimeout{1500};
 constexpr Millis kCommandRecordTimeout{700}; // commands not recorded in time are planned again
 constexpr Millis kCommandPauseMargin{200};
@@ -281,7 +281,7 @@
     for (const auto &[wave, isCompleted] : plan.waveStates)
         m_unpublishedWaveStates[wave] = isCompleted;
     publishWaveState();
-    recordMaintainedHosts(now);
+    recordHandledHosts(now);
 }
 
 void HostController::send(const HostCommand &command, WorkerId worker)
@@ -346,11 +346,11 @@
                      });
 }
 
-void HostController::recordMaintainedHosts(Instant now)
+void HostController::recordHandledHosts(Instant now)
 {
-    if (m_isRecording || now < m_nextRecordTime)
+    if (m_isRecordingHandledHosts || now < m_nextHandledHostsRecord)
         return;
-    m_nextRecordTime = now + kRecordInterval;
+    m_nextHandledHostsRecord = now + kHandledHostsRecordInterval;
     for (const auto &[number, wave] : m_view.waves) {
         const std::set<HostId> maintained = m_planner.handledHosts(number);
         if (maintained.size() <= m_recordedHostCounts[number])
@@ -364,14 +364,14 @@
         transaction.writes.push_back({kControlTable,
                                       std::string(kMaintainedHostsPrefix) + std::to_string(number),
                                       list.serialize()});
-        m_isRecording = true;
+        m_isRecordingHandledHosts = true;
         m_table.transact(transaction, kTableTimeout,
                          [weak = weak_from_this(), number = number,
                           count = maintained.size()](const platform::TransactionResult &result) {
                              const auto self = weak.lock();
                              if (!self || self->m_isStopped)
                                  return;
-                             self->m_isRecording = false;
+                             self->m_isRecordingHandledHosts = false;
                              if (result.outcome == platform::TransactionResult::Outcome::Done)
                                  self->m_recordedHostCounts[number] = count;
                          });
--- a/src/node/hostcontroller.h
+++ b/src/node/hostcontroller.h
@@ -49,7 +49,7 @@
     void onCommandAnswered(const HostCommand &command, WorkerId worker, HostCommandResult result);
     void updateState(const HostInfo &host);
     WorkerUsage workerUsage(WorkerId worker) const;
-    void recordMaintainedHosts(Instant now);
+    void recordHandledHosts(Instant now);
     void publishWaveState();
 
     const NodeSettings &m_settings;
@@ -64,7 +64,7 @@
     std::map<HostId, HostInfo::State> m_hostStates;
     boost::asio::steady_timer m_listTimer;
     Instant m_nextPlan{};
-    Instant m_nextRecordTime{};
+    Instant m_nextHandledHostsRecord{};
     /// Number of maintained hosts that are recorded, by wave.
     std::map<std::int64_t, std::size_t> m_recordedHostCounts;
     std::map<std::int64_t, bool> m_unpublishedWaveStates; ///< By wave, whether it is completed.
@@ -72,7 +72,7 @@
     std::map<HostId, std::int64_t> m_commandTimes;
     bool m_areRecordedCommandsRead = false;
     bool m_isPublishing = false;
-    bool m_isRecording = false;
+    bool m_isRecordingHandledHosts = false;
     bool m_isStopped = false;
 };
 
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -83,7 +83,7 @@
 
 /// Returns the worker that a command or poll was sent to, or nullptr if it is not known any more.
 /// If `result` shows that it has terminated, drops its runs and returns nullptr.
-WorkerState *Scheduler::findCommandedWorker(WorkerId id, CallResult result, Instant now)
+WorkerState *Scheduler::updateCommandedWorker(WorkerId id, CallResult result, Instant now)
 {
     const auto found = m_workers.find(id);
     if (found == m_workers.end())
@@ -97,11 +97,11 @@
 
 /// Returns the worker and the run that a command was sent to; the run is nullptr if it is not known
 /// any more.
-std::pair<WorkerState *, WorkerRun *> Scheduler::findCommandedRun(WorkerId id, const TaskId &task,
-                                                                  std::int64_t number,
-                                                                  CallResult result, Instant now)
+std::pair<WorkerState *, WorkerRun *> Scheduler::updateCommandedRun(WorkerId id, const TaskId &task,
+                                                                    std::int64_t number,
+                                                                    CallResult result, Instant now)
 {
-    WorkerState *worker = findCommandedWorker(id, result, now);
+    WorkerState *worker = updateCommandedWorker(id, result, now);
     WorkerRun *run = worker ? findRun(*worker, task, number) : nullptr;
     if (run)
         run->isCommandInFlight = false;
@@ -113,8 +113,8 @@
     if (!m_startWindow.isOpen())
         m_needsPlacement = true;
     m_startWindow.onCompleted(result != CallResult::Unknown && result != CallResult::NotSent);
-    const auto [answering, run] = findCommandedRun(command.worker, command.task, command.run,
-                                                   result, now);
+    const auto [answering, run] = updateCommandedRun(command.worker, command.task, command.run,
+                                                     result, now);
     if (!run)
         return;
     WorkerState &worker = *answering;
@@ -177,8 +177,8 @@
 
 void Scheduler::onStopResult(const StopCommand &command, CallResult result, Instant now)
 {
-    const auto [answering, run] = findCommandedRun(command.worker, command.task, command.run,
-                                                   result, now);
+    const auto [answering, run] = updateCommandedRun(command.worker, command.task, command.run,
+                                                     result, now);
     if (!run)
         return;
     WorkerState &worker = *answering;
@@ -206,7 +206,7 @@
 void Scheduler::onPollResult(const PollRequest &request, CallResult result,
                              const WorkerStatus &status, Instant sent, Instant now)
 {
-    WorkerState *answering = findCommandedWorker(request.worker, result, now);
+    WorkerState *answering = updateCommandedWorker(request.worker, result, now);
     if (!answering)
         return;
     WorkerState &worker = *answering;
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -51,7 +51,7 @@
         removeRun(worker, index);
         unplace(run, now);
     }
-    findStalls(worker, now);
+    stopStalledRuns(worker, now);
     adjustCpuLimits(worker, now);
     const bool hasNewEnds = !status.ended.empty();
     worker.nextPoll = hasNewEnds ? now + m_settings.pollSpacing : now;
@@ -194,7 +194,7 @@
         finish(job, JobState::Failed, now);
 }
 
-void Scheduler::findStalls(WorkerState &worker, Instant now)
+void Scheduler::stopStalledRuns(WorkerState &worker, Instant now)
 {
     for (WorkerRun &run : worker.runs) {
         if (run.phase != WorkerRun::Phase::Running || run.isLongRunning
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -20,7 +20,7 @@
 {
     std::vector<SchedulerAction> out;
     openOccurrences(wallClockMs);
-    expireLeases(now);
+    dropExpiredRuns(now);
     if (maySendCommands) {
         for (auto &[id, worker] : m_workers)
             sendCommands(worker, now, out);
@@ -42,7 +42,7 @@
     return next;
 }
 
-void Scheduler::expireLeases(Instant now)
+void Scheduler::dropExpiredRuns(Instant now)
 {
     for (auto &[id, worker] : m_workers) {
         if (worker.runs.empty() || worker.failedPolls == 0)
--- a/tests/maintenance/hostplanner_test.cpp
+++ b/tests/maintenance/hostplanner_test.cpp
@@ -80,7 +80,7 @@
     CHECK(moves(plan(50, 30), kBusy) == 2);
 }
 
-TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_orderNotAnsweredYet_ordersNoMore", "[hosts]")
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_commandNotAnsweredYet_sendsNoMore", "[hosts]")
 {
     // Guards against repeated moves: while the host service was slow to answer, each plan moved the
     // same number of hosts again.
@@ -89,7 +89,7 @@
     CHECK(moves(plan(50, 30), kBusy) == 0);
 }
 
-TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_orderTurnedAway_ordersAgain", "[hosts]")
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_commandRefused_sendsItAgain", "[hosts]")
 {
     answer(plan(50, 30), HostCommandResult::Busy);
     now += HostPlannerSettings{}.commandRetryDelay;
@@ -128,7 +128,7 @@
         CHECK(command.host.name().substr(0, 1) == "b");
 }
 
-TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_hostOrderedByEarlierOwner_isLeftAlone", "[hosts]")
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_hostCommandedByEarlierOwner_isLeftAlone", "[hosts]")
 {
     for (int index = 0; index < 4; ++index)
         planner.pause(HostId("s" + std::to_string(index)), now + Millis(3000));
@@ -275,7 +275,7 @@
     CHECK(result.waveStates[0].second);
 }
 
-TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_outcomeUnknown_ordersAgain", "[hosts]")
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_outcomeUnknown_sendsItAgain", "[hosts]")
 {
     planner.addWave(wave({"b0"}, 1), now);
     answer(plan(34, 34), HostCommandResult::Unknown);
