--- a/include/oleanderhall/jobs/fleetconfig.h
+++ b/include/oleanderhall/jobs/fleetconfig.h
@@ -11,7 +11,7 @@
 /// The configuration of one pool of workers.
 struct PoolConfig
 {
-    ServiceId service;
+    PoolId id;
     bool rejectsOverload = false; ///< Its workers reject tasks that exceed their free capacity.
     bool isSpare = false; ///< Its hosts are off and cause no cost.
 };
--- a/include/oleanderhall/jobs/queueconfig.h
+++ b/include/oleanderhall/jobs/queueconfig.h
@@ -22,7 +22,7 @@
     std::string name;
     std::string host; ///< The value of the callers' Host header.
     std::string prefix; ///< The path up to the job's id.
-    ServiceId service; ///< The pool of workers that runs the queue's tasks.
+    PoolId pool; ///< The pool of workers that runs the queue's tasks.
     int priority = 0; ///< 0 is the highest.
     int maxAttempts = 1; ///< Failed runs of a task after which its job fails.
     /// The objective for a job's completion time is `stretch` times its critical path, plus
--- a/include/oleanderhall/maintenance/hostcommand.h
+++ b/include/oleanderhall/maintenance/hostcommand.h
@@ -12,7 +12,7 @@
 struct HostCommand
 {
     HostId host;
-    ServiceId targetPool; ///< The target pool of a move; empty for maintenance.
+    PoolId targetPool; ///< The target pool of a move; empty for maintenance.
     std::int64_t wave = 0; ///< The wave's number; 0 for a move.
     std::string reason; ///< Shown to operators and auditors.
 
--- a/include/oleanderhall/maintenance/hostinfo.h
+++ b/include/oleanderhall/maintenance/hostinfo.h
@@ -9,10 +9,10 @@
 /// One host as listed by the platform.
 struct HostInfo
 {
-    enum class State { Up, Moving, Maintenance, Down };
+    enum class State { Ready, Moving, Maintenance, Down };
 
     HostId id;
-    ServiceId pool;
+    PoolId pool;
     State state = State::Down;
     ZoneId zone;
     Resources capacity;
@@ -22,7 +22,7 @@
 /// The result of a command to a host.
 enum class HostCommandResult {
     Done, ///< Carried out by this call or an earlier one; it ended all work then on the host.
-    Busy, ///< The host is not up, or is about to be moved or maintained.
+    Busy, ///< The host is not ready, or is about to be moved or maintained.
     NotOfWave, ///< The host does not belong to the wave.
     Fenced, ///< Rejected because of the fencing token: a newer owner has taken over.
     Invalid, ///< Rejected as invalid; the same command would be rejected again.
--- a/include/oleanderhall/maintenance/hostplanner.h
+++ b/include/oleanderhall/maintenance/hostplanner.h
@@ -74,9 +74,9 @@
     /// Plans no commands to `host` before `until`. A new owner calls it for hosts to which an
     /// earlier owner may just have sent a command.
     void pause(HostId host, Instant until) { m_pausedUntil[host] = until; }
-    /// Adds or updates a wave that was first seen at `firstSeen`. `maintained` are the hosts that
-    /// an earlier owner has already maintained.
-    void addWave(const Wave &wave, Instant firstSeen, const std::set<HostId> &maintained = {});
+    /// Adds or updates a wave that was first seen at `firstSeen`. `handled` are the hosts that
+    /// need no further command according to earlier owners.
+    void addWave(const Wave &wave, Instant firstSeen, const std::set<HostId> &handled = {});
     /// Handles the result of a planned command. Every planned command must get one.
     void onCommandResult(const HostCommand &command, HostCommandResult result, Instant now);
     /// Returns the commands to send now and the workers to cordon or evacuate. The plan is empty
@@ -87,7 +87,7 @@
     /// the platform rejected it for good.
     std::set<HostId> handledHosts(std::int64_t wave) const;
     /// Returns the workers that the platform lists in `pool`, or nothing before the first list.
-    std::optional<std::vector<WorkerId>> workersIn(ServiceId pool) const;
+    std::optional<std::vector<WorkerId>> workersIn(PoolId pool) const;
     /// Returns whether a command, move or maintenance is in progress, so that the list of hosts
     /// should be read again soon.
     bool hasPendingChanges(Instant now) const;
@@ -98,12 +98,12 @@
         HostInfo info;
         WorkerUsage usage; ///< Of its worker, as of the current plan.
         bool isCommandInFlight = false;
-        ServiceId targetPool; ///< Target of the last command; empty for maintenance.
+        PoolId targetPool; ///< Target of the last command; empty for maintenance.
         Instant nextCommandAt; ///< The earliest time of the next command.
         Instant unavailableUntil; ///< The expected end of the current move or maintenance.
         /// When the outcome of its last move was found to be unknown, until a later list is read.
         std::optional<Instant> unknownMoveAt;
-        std::set<ServiceId> rejectedPools; ///< Pools to which a move was rejected as invalid.
+        std::set<PoolId> rejectedPools; ///< Pools to which a move was rejected as invalid.
     };
     struct WaveState
     {
@@ -125,21 +125,21 @@
     bool acceptsCommands(const Host &host, Instant now) const;
     void planWaves(Instant now, Plan &plan);
     void planMoves(const PoolDemands &demands, Instant now, Plan &plan);
-    std::map<ServiceId, PoolState> poolStates(const PoolDemands &demands, Instant now) const;
+    std::map<PoolId, PoolState> poolStates(const PoolDemands &demands, Instant now) const;
     /// Returns whether `pool` has a host that is in a wave and still needs a command for it.
-    bool awaitsMaintenance(ServiceId pool) const;
-    Host *findFreeHost(ServiceId from, ServiceId to, Instant now);
-    void cordonLeastLoaded(ServiceId pool, int count, Instant now, Plan &plan);
+    bool awaitsMaintenance(PoolId pool) const;
+    Host *findFreeHost(PoolId from, PoolId to, Instant now);
+    void cordonLeastLoaded(PoolId pool, int count, Instant now, Plan &plan);
     void addCommand(Host &host, HostCommand command, Plan &plan);
 
     HostPlannerSettings m_settings;
     std::map<HostId, Instant> m_pausedUntil;
-    std::set<ServiceId> m_pools; ///< All pools, the spare pool among them.
-    ServiceId m_sparePool;
+    std::set<PoolId> m_pools; ///< All pools, the spare pool among them.
+    PoolId m_sparePool;
     std::map<HostId, Host> m_hosts;
     bool m_hasHostList = false;
     std::map<std::int64_t, WaveState> m_waves;
-    std::map<ServiceId, Instant> m_surplusSince; ///< When a pool's current surplus began.
+    std::map<PoolId, Instant> m_surplusSince; ///< When a pool's current surplus began.
 };
 
 } // namespace oleanderhall
--- a/include/oleanderhall/ownership/ownership.h
+++ b/include/oleanderhall/ownership/ownership.h
@@ -16,12 +16,12 @@
     std::string owner; ///< Empty after a planned hand-over.
     std::int64_t generation = 0; ///< Counts the changes of ownership.
     std::uint64_t version = 0; ///< The row's version, used as fencing token; 0 if there is no row.
-    double processorShare = 0; ///< The last owner's processor time in cores; 0 if not known.
+    double processorCores = 0; ///< The last owner's processor time in cores; 0 if not known.
 };
 
 /// The processor time, in cores, that an owner needs. An owner used up to 0.15 cores with 349 hosts
 /// (docs/CAPACITY.md).
-inline constexpr double kSufficientShare = 0.2;
+inline constexpr double kSufficientCores = 0.2;
 
 /// Time limits of ownership, and this process's share of the processor.
 struct OwnershipSettings
@@ -37,15 +37,15 @@
     Millis leaseExtensionTime{3500};
     Millis retryDelay{150}; ///< The delay after a failed renewal or take-over.
     Millis jitter{0}; ///< Added to `lease` before a take-over, so that processes don't collide.
-    double processorShare = 1; ///< This process's processor time in cores.
+    double processorCores = 1; ///< This process's processor time in cores.
     /// The extra wait before a take-over by a process that has less processor time than the last
     /// owner. It is well above the jitter, so that processes with as much processor time as the
     /// last owner take over first; an owner that can't keep up costs the fleet more than this
     /// delay.
     Millis belowOwnerDelay{1500};
-    /// The extra wait of a process below kSufficientShare when the last owner was below it, too. It
+    /// The extra wait of a process below kSufficientCores when the last owner was below it, too. It
     /// equals the longest jitter.
-    Millis lowShareDelay{300};
+    Millis fewCoresDelay{300};
     /// If the time between two answers of the table is longer than this, this process had no
     /// contact with the table and may have missed renewals, so it waits for the owner's lease time
     /// again before a take-over. The value exceeds the duration of one long poll without changes,
--- a/include/oleanderhall/routing/claimrecord.h
+++ b/include/oleanderhall/routing/claimrecord.h
@@ -26,7 +26,7 @@
     int status = 0; ///< Status code of the response, if Done.
     std::string contentType;
     std::string body;
-    bool hasStoredBody = false; ///< False if the response body was too large to be stored.
+    bool hasStoredBody = false; ///< False if the response body exceeds the limit for storing.
 
     friend bool operator==(const ClaimRecord &, const ClaimRecord &) = default;
 };
--- a/include/oleanderhall/scheduling/pooldemand.h
+++ b/include/oleanderhall/scheduling/pooldemand.h
@@ -14,6 +14,6 @@
     int minHosts = 0; ///< To respect the steps' limits of tasks per worker.
 };
 
-using PoolDemands = std::map<ServiceId, PoolDemand>;
+using PoolDemands = std::map<PoolId, PoolDemand>;
 
 } // namespace oleanderhall
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -87,16 +87,16 @@
     void evacuate(const std::set<WorkerId> &workers, Instant now);
     /// Returns the capacity that the work of each pool requires.
     PoolDemands poolDemands(Instant now);
-    /// Sets the workers that the platform lists in a pool. Tasks that an earlier owner may have
-    /// started there wait until the runs of all of them were read.
-    void setExpectedWorkers(ServiceId pool, std::vector<WorkerId> workers);
+    /// Sets the workers that the platform lists in a pool. A task that an earlier owner may have
+    /// started waits until this owner has read the runs of all of them.
+    void setExpectedWorkers(PoolId pool, std::vector<WorkerId> workers);
     /// Sets the workers whose hosts will be maintained soon. Long-running tasks prefer others.
     void setAwaitingMaintenance(std::set<WorkerId> workers)
     {
         m_awaitingMaintenance = std::move(workers);
     }
     /// Returns whether this owner has read the runs of every worker that may run tasks of the pool.
-    bool isSynced(ServiceId pool) const;
+    bool isSynced(PoolId pool) const;
 
 private:
     /// A step with tasks to start.
@@ -151,7 +151,7 @@
     const StepSpec *findSpec(const TaskId &id) const;
     void logDecision(Decision decision);
 
-    // Steps of tick().
+    // The stages of tick().
     void openOccurrences(std::int64_t wallClockMs);
     void openOccurrence(TrackedJob &job, int number);
     void finishIfComplete(TrackedJob &job, Instant now);
@@ -202,15 +202,15 @@
     std::map<JobId, TrackedJob> m_jobs;
     std::set<JobId> m_active; ///< Jobs that have not ended.
     std::set<JobId> m_recurring; ///< Those of them that run at several times.
-    std::map<ServiceId, PoolState> m_pools;
+    std::map<PoolId, PoolState> m_pools;
     bool m_needsPlacement = true; ///< Something changed since the last placement.
     Instant m_lastPlacement;
     CongestionWindow m_startWindow; ///< Limits the start commands in flight.
-    ServiceId m_firstPool; ///< The pool whose tasks are placed first next time.
+    PoolId m_firstPool; ///< The pool whose tasks are placed first next time.
     RunTimeModel m_runTimes;
-    std::map<ServiceId, std::vector<WorkerId>> m_expectedWorkers; ///< As the platform lists them.
+    std::map<PoolId, std::vector<WorkerId>> m_expectedWorkers; ///< As the platform lists them.
     std::set<WorkerId> m_awaitingMaintenance;
-    std::map<ServiceId, ArrivalRate> m_arrivals; ///< Of work, in core-seconds per second.
+    std::map<PoolId, ArrivalRate> m_arrivals; ///< Of work, in core-seconds per second.
     TicketCache m_tickets;
     std::set<JobId> m_dirty; ///< Jobs with progress to be recorded.
     JobId m_firstDirty; ///< The next write begins with this job, so that none waits forever.
--- a/include/oleanderhall/scheduling/schedulersettings.h
+++ b/include/oleanderhall/scheduling/schedulersettings.h
@@ -10,8 +10,8 @@
 /// process's settings.
 struct SchedulerSettings
 {
-    /// How long a worker keeps its runs without contact to the owner. It exceeds the duration of a
-    /// change of owner, so that runs survive one. Tasks of an unresponsive worker are started
+    /// How long a worker keeps its runs after the owner's last poll or start. Longer than a change
+    /// of owner takes, so that runs survive it. Tasks of an unresponsive worker are started
     /// elsewhere only after this time.
     Millis workerLease{5000};
     /// How long after a take-over a task is not started again if it may run on a worker that this
@@ -35,13 +35,14 @@
     Millis commandRetryDelay{250};
     /// How often a start is sent before its run is abandoned and stopped.
     int maxStartAttempts = 3;
-    /// How long a worker that is suspected to be faulty gets no new tasks; doubled each time.
+    /// How long a worker that seems faulty gets no new tasks. The time doubles with each further
+    /// suspicion until a task succeeds there.
     Millis avoidDuration{3000};
     /// A run without progress for this long is stopped, and its task is started elsewhere.
     Millis stallTimeout{2000};
     /// The longest delay before progress that changes no outcome is recorded.
     Millis maxRecordDelay{400};
-    /// The shortest time between two transactions that record progress; each is charged for.
+    /// The shortest time between two writes of progress; each transaction is charged for.
     Millis recordInterval{50};
     /// Jobs per write of progress, which the caller splits into transactions.
     std::size_t maxJobsPerWrite = 240;
--- a/include/oleanderhall/scheduling/workerinfo.h
+++ b/include/oleanderhall/scheduling/workerinfo.h
@@ -15,7 +15,7 @@
 struct WorkerInfo
 {
     WorkerId id;
-    ServiceId pool;
+    PoolId pool;
     std::string address; ///< IP and port.
     ZoneId zone;
     bool isDraining = false;
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -32,7 +32,7 @@
     return {.name = name,
             .host = "soak.example",
             .prefix = std::string("/") + name + "/",
-            .service = ServiceId(pool),
+            .pool = PoolId(pool),
             .maxAttempts = 3,
             .stretch = 1.6,
             .allowance = Millis(600),
@@ -63,7 +63,7 @@
     m_tableServer->start(kAddress, port(kTablePortOffset));
     m_config = {.version = {1},
                 .queues = {makeQueue("alpha", "pool-a"), makeQueue("beta", "pool-b")},
-                .pools = {{.service = ServiceId("pool-a")}, {.service = ServiceId("pool-b")}}};
+                .pools = {{.id = PoolId("pool-a")}, {.id = PoolId("pool-b")}}};
     publishConfig();
     m_workers.resize(static_cast<std::size_t>(settings.workers));
     for (int index = 0; index < settings.workers; ++index) {
@@ -137,7 +137,7 @@
         + std::to_string(worker.incarnationCount);
     worker.incarnation = std::make_shared<platform::StandinWorker>(m_io, id, m_checker);
     const WorkerInfo info{.id = WorkerId(id),
-                          .pool = ServiceId(index % 2 == 0 ? "pool-a" : "pool-b"),
+                          .pool = PoolId(index % 2 == 0 ? "pool-a" : "pool-b"),
                           .address = addressAt(worker.port),
                           .zone = ZoneId("z" + std::to_string(index % 2)),
                           .capacity = {.milliCores = 8000, .memoryMb = 8192}};
--- a/src/daemon/controller.h
+++ b/src/daemon/controller.h
@@ -58,8 +58,8 @@
     /// Appends to `out` the JSON texts of the entries that follow `sequence` until it holds `limit`
     /// texts. Returns false if some of these entries are no longer in memory.
     bool entriesAfter(Sequence sequence, std::size_t limit, std::vector<std::string> &out) const;
-    /// Returns an upper bound of the age of the view, measured from the start of the read that last
-    /// renewed its lease.
+    /// Returns an upper bound of the age of the view: the time since the read that last renewed its
+    /// lease was sent.
     Millis viewAge() const;
 
     /// Returns an entry for the given state, of which only the changes and the reason are set, or
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -132,8 +132,8 @@
     writeLine(event, true, fields);
 }
 
-void logFields(std::string_view event, bool isWarning,
-               const std::vector<std::pair<const char *, std::string>> &fields)
+void logEvent(std::string_view event, bool isWarning,
+              const std::vector<std::pair<const char *, std::string>> &fields)
 {
     writeLine(event, isWarning, fields);
 }
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -20,8 +20,8 @@
 /// Internal: writes one line of JSON for an event that an operator should investigate.
 void logWarning(std::string_view event, LogFields fields = {});
 /// Internal: writes one line of JSON with a list of fields that is built at run time.
-void logFields(std::string_view event, bool isWarning,
-               const std::vector<std::pair<const char *, std::string>> &fields);
+void logEvent(std::string_view event, bool isWarning,
+              const std::vector<std::pair<const char *, std::string>> &fields);
 /// Internal: returns the number of lines dropped since the start.
 unsigned long droppedLogLines();
 
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -72,7 +72,7 @@
 {
     value record = value::object();
     record["name"] = value(queue.name);
-    record["service"] = value(queue.service.name());
+    record["service"] = value(queue.pool.name());
     record["priority"] = value(queue.priority);
     record["attempts"] = value(queue.maxAttempts);
     record["stretch"] = value(queue.stretch);
@@ -90,7 +90,7 @@
 QueueConfig decodeQueue(const value &record)
 {
     QueueConfig queue{.name = record.at("name").as_string(),
-                      .service = ServiceId(record.at("service").as_string())};
+                      .pool = PoolId(record.at("service").as_string())};
     queue.priority = record.at("priority").as_integer();
     queue.maxAttempts = record.at("attempts").as_integer();
     queue.stretch = record.at("stretch").as_double();
--- a/src/maintenance/hostplanner.cpp
+++ b/src/maintenance/hostplanner.cpp
@@ -22,9 +22,9 @@
     m_pools.clear();
     m_sparePool = {};
     for (const PoolConfig &pool : pools) {
-        m_pools.insert(pool.service);
+        m_pools.insert(pool.id);
         if (pool.isSpare)
-            m_sparePool = pool.service;
+            m_sparePool = pool.id;
     }
 }
 
@@ -36,7 +36,7 @@
         Host &host = m_hosts[info.id];
         // A list that was read during a command, move or maintenance may predate the command.
         if (host.isCommandInFlight
-            || (now < host.unavailableUntil && info.state == HostInfo::State::Up))
+            || (now < host.unavailableUntil && info.state == HostInfo::State::Ready))
             continue;
         if (host.unknownMoveAt && requested > *host.unknownMoveAt)
             host.unknownMoveAt.reset();
@@ -46,13 +46,13 @@
     m_hasHostList = true;
 }
 
-void HostPlanner::addWave(const Wave &wave, Instant firstSeen, const std::set<HostId> &maintained)
+void HostPlanner::addWave(const Wave &wave, Instant firstSeen, const std::set<HostId> &handled)
 {
     WaveState &state = m_waves[wave.number];
     if (state.wave.number == 0)
         state.firstSeen = firstSeen;
     state.wave = wave;
-    state.handledHosts.insert(maintained.begin(), maintained.end());
+    state.handledHosts.insert(handled.begin(), handled.end());
 }
 
 std::set<HostId> HostPlanner::handledHosts(std::int64_t wave) const
@@ -61,7 +61,7 @@
     return found == m_waves.end() ? std::set<HostId>() : found->second.handledHosts;
 }
 
-std::optional<std::vector<WorkerId>> HostPlanner::workersIn(ServiceId pool) const
+std::optional<std::vector<WorkerId>> HostPlanner::workersIn(PoolId pool) const
 {
     if (!m_hasHostList)
         return std::nullopt;
@@ -86,8 +86,8 @@
 bool HostPlanner::acceptsCommands(const Host &host, Instant now) const
 {
     const auto paused = m_pausedUntil.find(host.info.id);
-    return host.info.state == HostInfo::State::Up && !host.isCommandInFlight && !host.unknownMoveAt
-        && now >= host.nextCommandAt && now >= host.unavailableUntil
+    return host.info.state == HostInfo::State::Ready && !host.isCommandInFlight
+        && !host.unknownMoveAt && now >= host.nextCommandAt && now >= host.unavailableUntil
         && (paused == m_pausedUntil.end() || now >= paused->second);
 }
 
@@ -166,7 +166,7 @@
                 continue; // no longer in the fleet
             const auto until = state.unavailableUntil.find(id);
             const bool isCommanded = until != state.unavailableUntil.end()
-                && (now < until->second || found->second.info.state != HostInfo::State::Up);
+                && (now < until->second || found->second.info.state != HostInfo::State::Ready);
             // An earlier owner may just have sent a command to this host.
             const auto paused = m_pausedUntil.find(id);
             const bool mayHaveEarlierCommand = paused != m_pausedUntil.end()
@@ -232,7 +232,7 @@
         plan.evacuated.clear();
 }
 
-bool HostPlanner::awaitsMaintenance(ServiceId pool) const
+bool HostPlanner::awaitsMaintenance(PoolId pool) const
 {
     return std::any_of(m_waves.begin(), m_waves.end(), [&](const auto &entry) {
         const WaveState &state = entry.second;
@@ -244,23 +244,23 @@
     });
 }
 
-std::map<ServiceId, HostPlanner::PoolState> HostPlanner::poolStates(const PoolDemands &demands,
-                                                                    Instant now) const
+std::map<PoolId, HostPlanner::PoolState> HostPlanner::poolStates(const PoolDemands &demands,
+                                                                 Instant now) const
 {
-    std::map<ServiceId, PoolState> states;
-    std::map<ServiceId, double> cores;
+    std::map<PoolId, PoolState> states;
+    std::map<PoolId, double> cores;
     for (const auto &[id, host] : m_hosts) {
         // A host counts towards its target pool as soon as the move is commanded.
         const bool isMoveCommanded = host.isCommandInFlight && !host.targetPool.empty();
         PoolState &state = states[isMoveCommanded ? host.targetPool : host.info.pool];
         const bool isJoining = now < host.unavailableUntil || isMoveCommanded;
-        if (host.info.state == HostInfo::State::Up || isJoining
+        if (host.info.state == HostInfo::State::Ready || isJoining
             || host.info.state == HostInfo::State::Moving
             || host.info.state == HostInfo::State::Maintenance)
             ++state.currentHosts;
         cores[host.info.pool] += static_cast<double>(host.info.capacity.milliCores) / kMilliPerCore;
     }
-    std::map<ServiceId, int> counts;
+    std::map<PoolId, int> counts;
     for (const auto &[id, host] : m_hosts)
         ++counts[host.info.pool];
     for (auto &[pool, state] : states)
@@ -278,7 +278,7 @@
     return states;
 }
 
-HostPlanner::Host *HostPlanner::findFreeHost(ServiceId from, ServiceId to, Instant now)
+HostPlanner::Host *HostPlanner::findFreeHost(PoolId from, PoolId to, Instant now)
 {
     for (auto &[id, host] : m_hosts) {
         if (host.info.pool != from || !acceptsCommands(host, now)
@@ -293,7 +293,7 @@
     return nullptr;
 }
 
-void HostPlanner::cordonLeastLoaded(ServiceId pool, int count, Instant now, Plan &plan)
+void HostPlanner::cordonLeastLoaded(PoolId pool, int count, Instant now, Plan &plan)
 {
     std::vector<std::pair<double, WorkerId>> ranked;
     for (const auto &[id, host] : m_hosts) {
@@ -315,8 +315,8 @@
 {
     if (m_sparePool.empty() && m_pools.size() < 2)
         return;
-    std::map<ServiceId, PoolState> states = poolStates(demands, now);
-    std::vector<std::pair<double, ServiceId>> poolsShortOfHosts;
+    std::map<PoolId, PoolState> states = poolStates(demands, now);
+    std::vector<std::pair<double, PoolId>> poolsShortOfHosts;
     for (const auto &[pool, state] : states) {
         if (pool != m_sparePool && m_pools.contains(pool)
             && state.currentHosts < state.desiredHosts)
@@ -326,13 +326,13 @@
     std::sort(poolsShortOfHosts.begin(), poolsShortOfHosts.end());
     for (const auto &[share, pool] : poolsShortOfHosts) {
         PoolState &recipient = states[pool];
-        std::vector<ServiceId> sources{m_sparePool};
+        std::vector<PoolId> sources{m_sparePool};
         for (const auto &[other, state] : states) {
             if (other != m_sparePool && other != pool && m_pools.contains(other)
                 && state.currentHosts > state.desiredHosts)
                 sources.push_back(other);
         }
-        for (const ServiceId source : sources) {
+        for (const PoolId source : sources) {
             PoolState &donor = states[source];
             while (recipient.currentHosts < recipient.desiredHosts
                    && (source == m_sparePool || donor.currentHosts > donor.desiredHosts)) {
--- a/src/maintenance/workerendverifier.cpp
+++ b/src/maintenance/workerendverifier.cpp
@@ -20,7 +20,8 @@
         if (requested <= check.answered)
             return false; // the list may predate the command
         const auto found = listed.find(host);
-        const bool isRunning = found != listed.end() && found->second->state == HostInfo::State::Up
+        const bool isRunning = found != listed.end()
+            && found->second->state == HostInfo::State::Ready
             && found->second->worker == check.worker;
         verdicts.push_back({host, check.worker, !isRunning});
         return true;
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -63,7 +63,7 @@
     web::json::value record = web::json::value::object();
     record["owner"] = web::json::value(term.owner);
     record["generation"] = web::json::value(term.generation);
-    record["processorShare"] = web::json::value(term.processorShare);
+    record["processorShare"] = web::json::value(term.processorCores);
     return record.serialize();
 }
 
@@ -102,7 +102,7 @@
     {
         OwnershipSettings result;
         std::random_device device;
-        result.processorShare = m_settings.processorShare;
+        result.processorCores = m_settings.processorCores;
         result.jitter = Millis(static_cast<int>(device() % kMaxJitterMs));
         return result;
     }
@@ -193,8 +193,8 @@
                 heartbeat = row.version;
                 applyOwnerReport(m_view, row.value);
             }
-            if (row.key.starts_with(kMaintainedHostsPrefix))
-                applyMaintainedHosts(m_view, row);
+            if (row.key.starts_with(kHandledHostsPrefix))
+                applyHandledHosts(m_view, row);
         }
         const bool wasOwner = m_ownership.isOwner();
         m_ownership.onRecordsRead(term, heartbeat, monotonicNow());
@@ -245,7 +245,7 @@
         transaction.writes.push_back({kControlTable, kTermKey,
                                       encodeTerm({.owner = m_settings.id.name(),
                                                   .generation = term.generation + 1,
-                                                  .processorShare = m_settings.processorShare})});
+                                                  .processorCores = m_settings.processorCores})});
         transaction.writes.push_back({kControlTable, kHeartbeatKey, "{}"});
         m_table.transact(
             transaction, kTakeOverTimeout, [this](const platform::TransactionResult &response) {
@@ -341,7 +341,7 @@
         transaction.preconditions.push_back({kControlTable, kTermKey, term.version});
         transaction.writes.push_back(
             {kControlTable, kTermKey,
-             encodeTerm({.generation = term.generation, .processorShare = term.processorShare})});
+             encodeTerm({.generation = term.generation, .processorCores = term.processorCores})});
         m_table.transact(
             transaction, kControlTimeout, [](const platform::TransactionResult &result) {
                 logInfo("ownership_handed_over",
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -148,7 +148,7 @@
         m_metrics.count(std::string("decisions_") + decision.event + "_total");
         if (decision.elapsed)
             m_metrics.observe(std::string(decision.event) + "_seconds", *decision.elapsed);
-        logFields(decision.event, decision.isWarning, decision.fields);
+        logEvent(decision.event, decision.isWarning, decision.fields);
     }
 }
 
--- a/src/node/fleetownerloading.cpp
+++ b/src/node/fleetownerloading.cpp
@@ -32,8 +32,7 @@
                      const auto self = weak.lock();
                      if (!self || self->m_isStopped)
                          return;
-                     // Retried without a delay, as a failed call has usually lasted until its
-                     // timeout.
+                     // Retried at once: a failed call has usually taken its whole time limit.
                      if (!result.isSuccess) {
                          self->fencePartition(partition);
                          return;
--- a/src/node/fleetview.h
+++ b/src/node/fleetview.h
@@ -25,8 +25,8 @@
     std::optional<FleetConfig> config;
     std::map<std::int64_t, Wave> waves;
     std::map<std::int64_t, Instant> waveSeenAt; ///< When this node first read the wave.
-    /// Hosts that an owner has recorded as maintained, by wave.
-    std::map<std::int64_t, std::set<HostId>> maintainedHosts;
+    /// Hosts that need no further command of a wave, as its owners have recorded them, by wave.
+    std::map<std::int64_t, std::set<HostId>> handledHosts;
     OwnerReport report;
     Instant lastContact{}; ///< When the last answered call to the table was sent.
 
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -50,8 +50,8 @@
 const char *nameOf(HostInfo::State state)
 {
     switch (state) {
-    case HostInfo::State::Up:
-        return "up";
+    case HostInfo::State::Ready:
+        return "ready";
     case HostInfo::State::Moving:
         return "moving";
     case HostInfo::State::Maintenance:
@@ -215,7 +215,7 @@
         m_scheduler.setTerminating(verdict.worker, false);
     }
     m_workerOfHost.clear();
-    std::map<ServiceId, std::vector<WorkerId>> expected;
+    std::map<PoolId, std::vector<WorkerId>> expected;
     for (const HostInfo &host : hosts) {
         m_workerOfHost[host.id] = host.worker;
         updateState(host);
@@ -232,7 +232,7 @@
     const auto known = m_hostStates.find(host.id);
     if (known != m_hostStates.end() && known->second == host.state)
         return;
-    if (known != m_hostStates.end() || host.state != HostInfo::State::Up)
+    if (known != m_hostStates.end() || host.state != HostInfo::State::Ready)
         logInfo("host_state",
                 {{"host", host.id.name()},
                  {"worker", host.worker.name()},
@@ -267,10 +267,9 @@
     if (m_view.config)
         m_planner.setPools(m_view.config->pools);
     for (const auto &[number, wave] : m_view.waves) {
-        const auto known = m_view.maintainedHosts.find(number);
+        const auto known = m_view.handledHosts.find(number);
         m_planner.addWave(wave, m_view.waveSeenAt.at(number),
-                          known == m_view.maintainedHosts.end() ? std::set<HostId>()
-                                                                : known->second);
+                          known == m_view.handledHosts.end() ? std::set<HostId>() : known->second);
     }
     const HostPlanner::Plan plan = m_planner.plan(
         m_scheduler.poolDemands(now), [this](WorkerId worker) { return workerUsage(worker); }, now);
@@ -308,8 +307,8 @@
                                        HostCommandResult result)
 {
     const Instant now = monotonicNow();
-    logFields("host_order_answered", result != HostCommandResult::Done,
-              {{"host", command.host.name()}, {"result", nameOf(result)}});
+    logEvent("host_order_answered", result != HostCommandResult::Done,
+             {{"host", command.host.name()}, {"result", nameOf(result)}});
     m_planner.onCommandResult(command, result, now);
     // The next list of hosts shows whether this command ended the worker.
     if (result == HostCommandResult::Done || result == HostCommandResult::Unknown)
@@ -352,22 +351,22 @@
         return;
     m_nextHandledHostsRecord = now + kHandledHostsRecordInterval;
     for (const auto &[number, wave] : m_view.waves) {
-        const std::set<HostId> maintained = m_planner.handledHosts(number);
-        if (maintained.size() <= m_recordedHostCounts[number])
+        const std::set<HostId> handled = m_planner.handledHosts(number);
+        if (handled.size() <= m_recordedHostCounts[number])
             continue;
         web::json::value list = web::json::value::array();
         std::size_t index = 0;
-        for (const HostId host : maintained)
+        for (const HostId host : handled)
             list[index++] = web::json::value(host.name());
         platform::Transaction transaction{.partition = kControlPartition};
         transaction.preconditions.push_back({kControlTable, kTermKey, m_ownership.term().version});
         transaction.writes.push_back({kControlTable,
-                                      std::string(kMaintainedHostsPrefix) + std::to_string(number),
+                                      std::string(kHandledHostsPrefix) + std::to_string(number),
                                       list.serialize()});
         m_isRecordingHandledHosts = true;
         m_table.transact(transaction, kTableTimeout,
                          [weak = weak_from_this(), number = number,
-                          count = maintained.size()](const platform::TransactionResult &result) {
+                          count = handled.size()](const platform::TransactionResult &result) {
                              const auto self = weak.lock();
                              if (!self || self->m_isStopped)
                                  return;
--- a/src/node/hostcontroller.h
+++ b/src/node/hostcontroller.h
@@ -65,7 +65,7 @@
     boost::asio::steady_timer m_listTimer;
     Instant m_nextPlan{};
     Instant m_nextHandledHostsRecord{};
-    /// Number of maintained hosts that are recorded, by wave.
+    /// Number of handled hosts that are recorded, by wave.
     std::map<std::int64_t, std::size_t> m_recordedHostCounts;
     std::map<std::int64_t, bool> m_unpublishedWaveStates; ///< By wave, whether it is completed.
     /// Time of the latest command to each host, in milliseconds on the table's clock.
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -37,7 +37,7 @@
     addOption(app, "--table", settings.tableAddress, "IP:PORT of the table service");
     addOption(app, "--hosts", settings.hostServiceAddress, "IP:PORT of the host service");
     addOption(app, "--advice", settings.adviceAddress, "IP:PORT of the policy service");
-    addOption(app, "--processor-share", settings.processorShare,
+    addOption(app, "--processor-share", settings.processorCores,
               "Processor time of this process, in cores");
     addOption(app, "--stop-ms", raw.stopMs, "Longest time that a worker takes to stop a task");
     addOption(app, "--status-s", raw.statusLifetimeS, "How long the state of an ended job is kept");
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -23,7 +23,7 @@
     std::string hostServiceAddress;
     /// IP:PORT of the policy service; when empty, no advice is requested.
     std::string adviceAddress;
-    double processorShare = 1; ///< Processor time of this process, in cores.
+    double processorCores = 1; ///< Processor time of this process, in cores.
     Millis taskStopTimeout{400}; ///< Longest time that a worker takes to stop a task.
     Millis statusLifetime{120000}; ///< How long the state of an ended job is kept.
     Millis moveTime{1500}; ///< How long a move of a host takes.
--- a/src/node/storednames.h
+++ b/src/node/storednames.h
@@ -13,7 +13,7 @@
 // Internal: tables, partitions and keys of the rows that the fleet nodes store in the table
 // service.
 
-/// Internal: the partition of the control table: term, heartbeat, host commands, maintained hosts.
+/// Internal: the partition of the control table: term, heartbeat, host commands, handled hosts.
 inline constexpr const char *kControlPartition = "fleet";
 /// Internal: the number of partitions over which jobs are distributed by their id. A partition
 /// executes a few hundred transactions a second, a slow one only a few. Each holds a row with the
@@ -29,8 +29,9 @@
 inline constexpr const char *kTermKey = "term";
 inline constexpr const char *kHeartbeatKey = "beat";
 
-/// Internal: prefix of the control table's rows that list the maintained hosts, one row a wave.
-inline constexpr std::string_view kMaintainedHostsPrefix = "wave/";
+/// Internal: prefix of the control table's rows that list the handled hosts, one row a wave. A host
+/// is handled when it needs no further command: its maintenance has begun or was rejected for good.
+inline constexpr std::string_view kHandledHostsPrefix = "wave/";
 
 /// Internal: the rows of one job, in the order of their keys.
 enum class JobRow : char {
--- a/src/node/viewupdate.cpp
+++ b/src/node/viewupdate.cpp
@@ -35,7 +35,7 @@
         term.owner = record.at("owner").as_string();
         term.generation = record.at("generation").as_number().to_int64();
         if (record.has_field("processorShare")) // rows of earlier versions lack it
-            term.processorShare = record.at("processorShare").as_double();
+            term.processorCores = record.at("processorShare").as_double();
     } catch (const web::json::json_exception &error) {
         logWarning("term_unreadable", {{"reason", error.what()}});
     }
@@ -57,13 +57,13 @@
     }
 }
 
-void applyMaintainedHosts(FleetView &view, const platform::TableRow &row)
+void applyHandledHosts(FleetView &view, const platform::TableRow &row)
 {
     try {
-        const std::int64_t wave = std::stoll(row.key.substr(kMaintainedHostsPrefix.size()));
+        const std::int64_t wave = std::stoll(row.key.substr(kHandledHostsPrefix.size()));
         const web::json::value hosts = web::json::value::parse(row.value);
         for (const auto &host : hosts.as_array())
-            view.maintainedHosts[wave].insert(HostId(host.as_string()));
+            view.handledHosts[wave].insert(HostId(host.as_string()));
     } catch (const std::exception &error) {
         logWarning("wave_record_unreadable", {{"key", row.key}, {"reason", error.what()}});
     }
--- a/src/node/viewupdate.h
+++ b/src/node/viewupdate.h
@@ -20,9 +20,9 @@
 /// does a report without queue lengths. If the queue lengths can't be decoded, the previous ones
 /// are dropped, those decoded before the error are applied and the report's time of receipt stays.
 void applyOwnerReport(FleetView &view, const std::string &text);
-/// Adds the hosts that a wave has maintained. If an entry can't be decoded, the hosts before it
+/// Adds the handled hosts of a wave. If an entry can't be decoded, the hosts before it
 /// have been added. Invalid JSON or an invalid key changes nothing.
-void applyMaintainedHosts(FleetView &view, const platform::TableRow &row);
+void applyHandledHosts(FleetView &view, const platform::TableRow &row);
 /// Applies a row that operators wrote: a wave, or a configuration newer than the one in force. A
 /// row that is deleted or can't be decoded changes nothing.
 void applyOperatorRow(FleetView &view, const platform::TableRow &row);
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Processor shares count as equal when their ratio is at least this.
-constexpr double kEqualShareRatio = 0.9;
+constexpr double kEqualCoresRatio = 0.9;
 
 } // namespace
 
@@ -42,10 +42,10 @@
 Millis Ownership::takeOverDelay() const
 {
     // Before the first term there is no last owner to compare with.
-    const double requiredShare = m_term.version == 0 ? kSufficientShare : m_term.processorShare;
-    if (m_settings.processorShare < requiredShare * kEqualShareRatio)
+    const double requiredCores = m_term.version == 0 ? kSufficientCores : m_term.processorCores;
+    if (m_settings.processorCores < requiredCores * kEqualCoresRatio)
         return m_settings.belowOwnerDelay;
-    return m_settings.processorShare < kSufficientShare ? m_settings.lowShareDelay : Millis(0);
+    return m_settings.processorCores < kSufficientCores ? m_settings.fewCoresDelay : Millis(0);
 }
 
 Ownership::Step Ownership::nextStep(Instant now)
@@ -81,7 +81,7 @@
     m_term = {.owner = m_self,
               .generation = m_nextGeneration, // m_term may already contain this take-over
               .version = version,
-              .processorShare = m_settings.processorShare};
+              .processorCores = m_settings.processorCores};
     m_heartbeatVersion = version;
     m_lastChange = now;
     m_lastRenewal = sent;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -89,7 +89,7 @@
         return;
     }
     m_active.insert(id);
-    m_pools[job.spec.queue.service].jobs.insert(id);
+    m_pools[job.spec.queue.pool].jobs.insert(id);
     if (job.spec.occurrences > 0)
         m_recurring.insert(id);
     if (job.spec.occurrences == 0) {
@@ -97,7 +97,7 @@
         if (!job.isLongRunning()) {
             const double work = remainingWork(job, &job.occurrences[0]);
             m_runTimes.observeWork(job.spec.queue.name, work);
-            m_arrivals[job.spec.queue.service].add(work, accepted);
+            m_arrivals[job.spec.queue.pool].add(work, accepted);
         }
     }
     logDecision({"job_accepted",
@@ -201,7 +201,7 @@
     job.ended = now;
     m_active.erase(job.spec.id);
     m_recurring.erase(job.spec.id);
-    m_pools[job.spec.queue.service].jobs.erase(job.spec.id);
+    m_pools[job.spec.queue.pool].jobs.erase(job.spec.id);
     m_tickets.removeJob(job.spec.id);
     stopJob(job, now);
     markDirty(job);
@@ -320,7 +320,7 @@
     return result;
 }
 
-bool Scheduler::isSynced(ServiceId pool) const
+bool Scheduler::isSynced(PoolId pool) const
 {
     const bool areListedSynced = std::all_of(
         m_workers.begin(), m_workers.end(), [&](const auto &entry) {
--- a/src/scheduling/schedulerdemand.cpp
+++ b/src/scheduling/schedulerdemand.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void Scheduler::setExpectedWorkers(ServiceId pool, std::vector<WorkerId> workers)
+void Scheduler::setExpectedWorkers(PoolId pool, std::vector<WorkerId> workers)
 {
     m_expectedWorkers[pool] = std::move(workers);
 }
@@ -29,12 +29,12 @@
         double weightedHorizon = 0;
     };
     PoolDemands demands;
-    std::map<ServiceId, Load> loads;
+    std::map<PoolId, Load> loads;
     for (const auto &[name, queue] : m_queues)
-        demands[queue.service];
+        demands[queue.pool];
     for (const JobId id : m_active) {
         const TrackedJob &job = m_jobs.at(id);
-        const ServiceId pool = job.spec.queue.service;
+        const PoolId pool = job.spec.queue.pool;
         for (const Occurrence &occurrence : job.occurrences) {
             if (job.isLongRunning()) {
                 for (const StepSpec &step : job.spec.steps) {
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -65,7 +65,7 @@
     if (task.isDone || task.isPlaced)
         return false;
     return !task.mayRunOnUnsyncedWorker || now - m_termStart >= m_settings.inheritedTaskDelay
-        || isSynced(job.spec.queue.service);
+        || isSynced(job.spec.queue.pool);
 }
 
 Millis Scheduler::remainingCriticalPath(const TrackedJob &job, const Occurrence *occurrence) const
@@ -158,7 +158,7 @@
         pool.nextRanking = {};
     }
     for (const JobId id : m_active)
-        m_pools[m_jobs.at(id).spec.queue.service].jobs.insert(id);
+        m_pools[m_jobs.at(id).spec.queue.pool].jobs.insert(id);
 }
 
 void Scheduler::groupWorkersByPool()
@@ -178,7 +178,7 @@
     m_lastPlacement = now;
     // Starts with the pool after the one where the start window was full last time, so that every
     // pool gets its share of the start commands.
-    std::vector<ServiceId> pools;
+    std::vector<PoolId> pools;
     for (const auto &[id, pool] : m_pools) {
         if (!pool.jobs.empty())
             pools.push_back(id);
@@ -277,7 +277,7 @@
         return;
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(candidate.step)];
     AdviceRequest request{.job = key.job, .occurrence = key.occurrence, .step = key.step};
-    for (const WorkerState *candidateWorker : m_pools[job.spec.queue.service].workers) {
+    for (const WorkerState *candidateWorker : m_pools[job.spec.queue.pool].workers) {
         const WorkerState &worker = *candidateWorker;
         const WorkerId id = worker.info.id;
         if (!worker.acceptsNewTasks(now) || !spec.need.fitsInto(worker.freeCapacity())
@@ -356,7 +356,7 @@
         need.milliCores = 0;
     WorkerState *best = nullptr;
     double bestScore = 0;
-    for (WorkerState *candidate : m_pools[job.spec.queue.service].workers) {
+    for (WorkerState *candidate : m_pools[job.spec.queue.pool].workers) {
         WorkerState &worker = *candidate;
         const WorkerId id = worker.info.id;
         if (!worker.acceptsNewTasks(now) || !need.fitsInto(worker.freeCapacity())
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -94,8 +94,8 @@
     const bool hasUnacknowledged = worker.lastRecordedEnd > worker.lastAcknowledgedEnd;
     if (worker.isSynced && worker.runs.empty() && !hasUnacknowledged && worker.failedPolls == 0)
         return;
-    // Ended runs are reported until they are acknowledged, which requires a durable record. A poll
-    // before that would return immediately with the same ends.
+    // A worker reports ended runs until they are acknowledged, and they are acknowledged only once
+    // their record is durable. A poll before that would return the same ends at once.
     const Millis left = worker.clock.isKnown()
         ? worker.clock.confirmedExpiry() - worker.clock.estimatedTime(now)
         : Millis(0);
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -45,7 +45,7 @@
 {
     JobSpec job{.id = {9}};
     job.queue.name = "q";
-    job.queue.service = ServiceId("pool");
+    job.queue.pool = PoolId("pool");
     job.queue.priority = 2;
     job.queue.maxAttempts = 4;
     job.queue.stretch = 1.6;
--- a/tests/maintenance/hostplanner_property_test.cpp
+++ b/tests/maintenance/hostplanner_property_test.cpp
@@ -16,9 +16,9 @@
 constexpr int kMaxDisrupted = 1;
 constexpr int kRounds = 300;
 constexpr Millis kRoundTime{60};
-const ServiceId kFirst("first");
-const ServiceId kSecond("second");
-const ServiceId kSpare("spare");
+const PoolId kFirst("first");
+const PoolId kSecond("second");
+const PoolId kSpare("spare");
 
 /// A fleet whose hosts run the tasks of long-running steps. A task that has been ended is placed
 /// again after a while on a host that is up.
@@ -28,12 +28,11 @@
     explicit WaveSimulation(unsigned seed)
         : m_random(seed)
     {
-        m_planner.setPools(
-            {{.service = kFirst}, {.service = kSecond}, {.service = kSpare, .isSpare = true}});
+        m_planner.setPools({{.id = kFirst}, {.id = kSecond}, {.id = kSpare, .isSpare = true}});
         for (int index = 0; index < kHostCount; ++index) {
             HostInfo host{.id = HostId("h" + std::to_string(index)),
                           .pool = index % 4 == 3 ? kSpare : (index % 2 == 0 ? kFirst : kSecond),
-                          .state = HostInfo::State::Up};
+                          .state = HostInfo::State::Ready};
             host.capacity.milliCores = 10000;
             host.worker = host.pool == kSpare ? WorkerId() : WorkerId("w" + host.id.name());
             m_hosts[host.id] = host;
@@ -127,9 +126,9 @@
     {
         for (auto &[id, until] : m_downUntil) {
             HostInfo &host = m_hosts[id];
-            if (m_now < until || host.state == HostInfo::State::Up)
+            if (m_now < until || host.state == HostInfo::State::Ready)
                 continue;
-            host.state = HostInfo::State::Up;
+            host.state = HostInfo::State::Ready;
             if (host.pool != kSpare)
                 host.worker = WorkerId("w" + std::to_string(++m_lastWorker));
         }
@@ -137,7 +136,7 @@
             if (!task.worker.empty() || pick(6) != 0)
                 continue;
             const HostInfo &host = std::next(m_hosts.begin(), pick(kHostCount))->second;
-            if (host.state != HostInfo::State::Up || host.worker.empty() || isCommanded(host.id))
+            if (host.state != HostInfo::State::Ready || host.worker.empty() || isCommanded(host.id))
                 continue;
             task.worker = host.worker;
             task.readyAt = m_now + Millis(200);
--- a/tests/maintenance/hostplanner_test.cpp
+++ b/tests/maintenance/hostplanner_test.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-const ServiceId kBusy("busy");
-const ServiceId kCalm("calm");
-const ServiceId kSpare("spare");
+const PoolId kBusy("busy");
+const PoolId kCalm("calm");
+const PoolId kSpare("spare");
 
 /// A fleet with four hosts in each of two pools and four spare hosts, which are off.
 class HostPlannerTest
@@ -16,18 +16,17 @@
 protected:
     HostPlannerTest()
     {
-        planner.setPools(
-            {{.service = kBusy}, {.service = kCalm}, {.service = kSpare, .isSpare = true}});
+        planner.setPools({{.id = kBusy}, {.id = kCalm}, {.id = kSpare, .isSpare = true}});
         for (int index = 0; index < 4; ++index) {
-            add("b" + std::to_string(index), kBusy, HostInfo::State::Up);
-            add("c" + std::to_string(index), kCalm, HostInfo::State::Up);
-            add("s" + std::to_string(index), kSpare, HostInfo::State::Up);
+            add("b" + std::to_string(index), kBusy, HostInfo::State::Ready);
+            add("c" + std::to_string(index), kCalm, HostInfo::State::Ready);
+            add("s" + std::to_string(index), kSpare, HostInfo::State::Ready);
         }
         planner.updateHosts(hosts, now);
         usages[WorkerId("")] = {}; // a host that is off has no worker
     }
 
-    void add(const std::string &name, ServiceId pool, HostInfo::State state)
+    void add(const std::string &name, PoolId pool, HostInfo::State state)
     {
         HostInfo host{.id = HostId(name), .pool = pool, .state = state};
         host.capacity.milliCores = 10000;
@@ -59,7 +58,7 @@
         return result;
     }
 
-    static int moves(const HostPlanner::Plan &plan, ServiceId pool)
+    static int moves(const HostPlanner::Plan &plan, PoolId pool)
     {
         int count = 0;
         for (const HostCommand &command : plan.commands)
@@ -172,7 +171,7 @@
 {
     // Guards against a violation of the availability budget: after a move, the list of hosts was
     // late, so a host whose new worker ran tasks already was maintained as if it were off.
-    add("b4", kBusy, HostInfo::State::Up);
+    add("b4", kBusy, HostInfo::State::Ready);
     hosts.back().worker = {};
     planner.updateHosts(hosts, now);
     planner.addWave(wave({"b4", "s0"}, 2), now);
@@ -256,7 +255,7 @@
     CHECK_FALSE(result.waveStates[0].second);
     answer(result);
     now += Millis(10000);
-    hosts[0].state = HostInfo::State::Up;
+    hosts[0].state = HostInfo::State::Ready;
     planner.updateHosts(hosts, now);
     result = plan(20, 20);
     CHECK(result.waveStates.empty());
--- a/tests/maintenance/workerendverifier_test.cpp
+++ b/tests/maintenance/workerendverifier_test.cpp
@@ -31,7 +31,7 @@
     // before it recorded this. The next owner repeated the command, which was reported as done, and
     // started the tasks of the host's new worker process elsewhere while they were still running
     // (seed 212759907481).
-    const auto verdicts = verify(HostInfo::State::Up, worker);
+    const auto verdicts = verify(HostInfo::State::Ready, worker);
     REQUIRE(verdicts.size() == 1);
     CHECK(verdicts[0].worker == worker);
     CHECK_FALSE(verdicts[0].hasEnded);
@@ -48,7 +48,7 @@
 TEST_CASE_METHOD(WorkerEndVerifierTest, "WorkerEndVerifier_hostHasAnotherWorker_workerHasEnded",
                  "[hosts]")
 {
-    const auto verdicts = verify(HostInfo::State::Up, WorkerId("w-next"));
+    const auto verdicts = verify(HostInfo::State::Ready, WorkerId("w-next"));
     REQUIRE(verdicts.size() == 1);
     CHECK(verdicts[0].hasEnded);
 }
@@ -64,7 +64,7 @@
 TEST_CASE_METHOD(WorkerEndVerifierTest,
                  "WorkerEndVerifier_listRequestedBeforeTheAnswer_tellsNothing", "[hosts]")
 {
-    CHECK(verifier.verify({{.id = host, .state = HostInfo::State::Up, .worker = worker}}, now)
+    CHECK(verifier.verify({{.id = host, .state = HostInfo::State::Ready, .worker = worker}}, now)
               .empty());
     CHECK(verify(HostInfo::State::Maintenance, {}).size() == 1);
 }
@@ -72,5 +72,5 @@
 TEST_CASE_METHOD(WorkerEndVerifierTest, "WorkerEndVerifier_verifiedOnce_isRemoved", "[hosts]")
 {
     verify(HostInfo::State::Maintenance, {});
-    CHECK(verify(HostInfo::State::Up, worker).empty());
+    CHECK(verify(HostInfo::State::Ready, worker).empty());
 }
--- a/tests/ownership/ownership_test.cpp
+++ b/tests/ownership/ownership_test.cpp
@@ -60,7 +60,7 @@
     CHECK(ownership.nextStep(now) == Ownership::Step::TakeOver);
 }
 
-TEST_CASE_METHOD(OwnershipTest, "Ownership_renewalsFail_stopsOrdersBeforeOthersMayTakeOver",
+TEST_CASE_METHOD(OwnershipTest, "Ownership_renewalsFail_stopsCommandsBeforeOthersMayTakeOver",
                  "[ownership]")
 {
     becomeOwner();
@@ -150,53 +150,54 @@
     CHECK(ownership.term().generation == 5);
 }
 
-TEST_CASE_METHOD(OwnershipTest, "Ownership_weakerThanLastOwner_leavesItToTheStrong", "[ownership]")
+TEST_CASE_METHOD(OwnershipTest, "Ownership_fewerCoresThanTheLastOwner_leavesItToOthers",
+                 "[ownership]")
 {
     // Guards against a take-over, after one missed heartbeat, by a process with too little
     // processor time to keep up while another one has enough.
-    settings.processorShare = 0.12;
-    Ownership weak{"weak", settings, now};
-    settings.processorShare = 0.5;
-    Ownership strong{"strong", settings, now};
-    const TermRecord term{.owner = "other", .generation = 1, .version = 7, .processorShare = 0.5};
+    settings.processorCores = 0.12;
+    Ownership fewCores{"fewCores", settings, now};
+    settings.processorCores = 0.5;
+    Ownership manyCores{"manyCores", settings, now};
+    const TermRecord term{.owner = "other", .generation = 1, .version = 7, .processorCores = 0.5};
     const auto wait = [&](Millis time) {
         for (Millis left = time; left > Millis(0); left -= Millis(500)) {
             advance(Millis(500));
-            weak.onRecordsRead(term, 10, now);
-            strong.onRecordsRead(term, 10, now);
+            fewCores.onRecordsRead(term, 10, now);
+            manyCores.onRecordsRead(term, 10, now);
         }
     };
-    weak.onRecordsRead(term, 10, now);
-    strong.onRecordsRead(term, 10, now);
+    fewCores.onRecordsRead(term, 10, now);
+    manyCores.onRecordsRead(term, 10, now);
     wait(settings.lease);
-    CHECK(weak.nextStep(now) == Ownership::Step::None);
-    CHECK(strong.nextStep(now) == Ownership::Step::TakeOver);
+    CHECK(fewCores.nextStep(now) == Ownership::Step::None);
+    CHECK(manyCores.nextStep(now) == Ownership::Step::TakeOver);
     wait(settings.belowOwnerDelay);
-    CHECK(weak.nextStep(now) == Ownership::Step::TakeOver); // no other process has taken over
+    CHECK(fewCores.nextStep(now) == Ownership::Step::TakeOver); // no other process has taken over
 }
 
-TEST_CASE_METHOD(OwnershipTest, "Ownership_weakerAtHandOver_leavesItToTheStrong", "[ownership]")
+TEST_CASE_METHOD(OwnershipTest, "Ownership_fewerCoresAtHandOver_leavesItToOthers", "[ownership]")
 {
-    settings.processorShare = 0.12;
-    Ownership weak{"weak", settings, now};
-    weak.onRecordsRead({.generation = 1, .version = 7, .processorShare = 0.5}, 10, now);
-    CHECK(weak.nextStep(now) == Ownership::Step::None);
+    settings.processorCores = 0.12;
+    Ownership fewCores{"fewCores", settings, now};
+    fewCores.onRecordsRead({.generation = 1, .version = 7, .processorCores = 0.5}, 10, now);
+    CHECK(fewCores.nextStep(now) == Ownership::Step::None);
     advance(settings.belowOwnerDelay);
-    CHECK(weak.nextStep(now) == Ownership::Step::TakeOver);
+    CHECK(fewCores.nextStep(now) == Ownership::Step::TakeOver);
 }
 
-TEST_CASE_METHOD(OwnershipTest, "Ownership_lastOwnerAsWeak_takesOverSoonAfterTheStrong",
+TEST_CASE_METHOD(OwnershipTest, "Ownership_lastOwnerHadAsFewCores_takesOverSoonAfterOthers",
                  "[ownership]")
 {
-    settings.processorShare = 0.12;
-    Ownership weak{"weak", settings, now};
-    const TermRecord term{.owner = "other", .generation = 1, .version = 7, .processorShare = 0.12};
-    weak.onRecordsRead(term, 10, now);
+    settings.processorCores = 0.12;
+    Ownership fewCores{"fewCores", settings, now};
+    const TermRecord term{.owner = "other", .generation = 1, .version = 7, .processorCores = 0.12};
+    fewCores.onRecordsRead(term, 10, now);
     for (int half = 0; half < 2; ++half) {
         advance(settings.lease / 2);
-        weak.onRecordsRead(term, 10, now);
+        fewCores.onRecordsRead(term, 10, now);
     }
-    CHECK(weak.nextStep(now) == Ownership::Step::None);
-    advance(settings.lowShareDelay);
-    CHECK(weak.nextStep(now) == Ownership::Step::TakeOver);
+    CHECK(fewCores.nextStep(now) == Ownership::Step::None);
+    advance(settings.fewCoresDelay);
+    CHECK(fewCores.nextStep(now) == Ownership::Step::TakeOver);
 }
--- a/tests/scheduling/scheduler_property_test.cpp
+++ b/tests/scheduling/scheduler_property_test.cpp
@@ -139,11 +139,11 @@
         std::vector<WorkerId> expected;
         for (const auto &[id, worker] : m_workers) {
             infos.push_back(worker.info);
-            if (worker.info.pool == ServiceId(kPool))
+            if (worker.info.pool == PoolId(kPool))
                 expected.push_back(id);
         }
         owner->scheduler->setWorkers(infos, m_now);
-        owner->scheduler->setExpectedWorkers(ServiceId(kPool), expected);
+        owner->scheduler->setExpectedWorkers(PoolId(kPool), expected);
         for (const auto &[id, stored] : m_store) {
             owner->scheduler->addJob(stored.spec, stored.progress, true, m_now);
             if (stored.isCancelled)
@@ -326,7 +326,7 @@
         }
         if (worker.used().milliCores > worker.info.capacity.milliCores)
             violations.push_back(id + ": exceeds the capacity of the worker");
-        if (worker.info.pool != ServiceId(kPool))
+        if (worker.info.pool != PoolId(kPool))
             violations.push_back(id + ": started on a worker of another pool");
         if (m_recordedOutcomes[command.task].contains(RunOutcome::Done))
             violations.push_back(id + ": started after its completion was recorded");
--- a/tests/support/fakefleet.cpp
+++ b/tests/support/fakefleet.cpp
@@ -119,7 +119,7 @@
 {
     JobSpec job{.id = {id}};
     job.queue.name = "queue-" + pool;
-    job.queue.service = ServiceId(pool);
+    job.queue.pool = PoolId(pool);
     job.queue.maxAttempts = 3;
     job.queue.stretch = 1.6;
     job.queue.allowance = Millis(600);
@@ -140,7 +140,7 @@
 WorkerInfo makeWorker(const std::string &id, const std::string &pool, std::int64_t milliCores)
 {
     return {.id = WorkerId(id),
-            .pool = ServiceId(pool),
+            .pool = PoolId(pool),
             .address = "10.0.0.1:80",
             .zone = ZoneId("z"),
             .capacity = {.milliCores = milliCores, .memoryMb = 100000}};
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -17,7 +17,7 @@
     SchedulerTest()
     {
         scheduler.setWorkers({makeWorker("w1", "pool", 8000), makeWorker("w2", "pool", 8000)}, now);
-        scheduler.setExpectedWorkers(ServiceId("pool"), {w1, w2});
+        scheduler.setExpectedWorkers(PoolId("pool"), {w1, w2});
     }
 
     void advance(Millis time) { now += time; }
