Admit no disruption on facts that an earlier owner's commands may have changed

Cause (issue 'AVAIL on real machines'): a new owner took a long-running task for ready as soon as it had read its worker once. The earlier owner's commands were not on its account: a host command that was sent or recorded but not carried out yet paused the host in the HostPlanner only; a stop is listed as running for up to stopTimeout; a third owner lost the first one's recorded commands with the second one's first record. Besides, a status had no greatest age, a command was not checked again after its record was written, and a command without an answer freed its worker's tasks at the next list of hosts. Change: WorkerState::distrustedUntil, set at the first status of a term, for hosts with recorded commands and for commands that failed or were not answered; a run is ready only by a status whose poll was sent after it and is not older than maxStatusAge. HostController keeps recorded commands in its own records, and checks the budget again when a record is durable. Ruled out by reading: suspects 5 and 7 of the issue (tasks of unknown workers count as unavailable; a plan marks the worker as terminating at once).

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -50,8 +50,12 @@
     /// Cordons exactly these workers: they get no new tasks.
     void cordon(const std::set<WorkerId> &workers);
     /// Sets whether a host command that ends all runs of the worker is in flight. A command that
-    /// failed is no longer in flight.
-    void setTerminating(WorkerId worker, bool isTerminating);
+    /// failed is no longer in flight; the worker's tasks count as unavailable until a new status.
+    void setTerminating(WorkerId worker, bool isTerminating, Instant now);
+    /// Until `until`, a command that this owner can't follow may end the worker's runs: its tasks
+    /// count as unavailable until a status whose poll was sent after that. Has no effect on unknown
+    /// workers.
+    void distrustRuns(WorkerId worker, Instant until);
     /// Records that a host command has terminated the worker.
     void onWorkerTerminated(WorkerId worker, Instant now);
 
@@ -81,8 +85,10 @@
     const std::map<WorkerId, WorkerState> &workers() const { return m_workers; }
     const std::map<JobId, TrackedJob> &jobs() const { return m_jobs; }
     /// Returns whether maintenance may end all runs of `worker`: all are of long-running tasks
-    /// whose disruption budgets allow it.
-    bool mayInterrupt(WorkerId worker) const;
+    /// whose disruption budgets allow it, and no host command to it is in flight.
+    bool mayInterrupt(WorkerId worker, Instant now) const;
+    /// Returns the same for a worker whose host command is about to be sent.
+    bool mayEndRuns(WorkerId worker, Instant now) const;
     /// Stops long-running tasks of these workers as far as their steps' disruption budgets allow.
     void evacuate(const std::set<WorkerId> &workers, Instant now);
     /// Returns the capacity that the work of each pool requires.
@@ -182,7 +188,8 @@
                   Instant now, std::vector<SchedulerAction> &out);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
-    StepPresence presenceOf(const TaskId &id, WorkerId here) const;
+    bool isCertainlyReady(const WorkerState &worker, const WorkerRun &run, Instant now) const;
+    StepPresence presenceOf(const TaskId &id, WorkerId here, Instant now) const;
     bool areDependenciesDone(const TrackedJob &job, const Occurrence &occurrence, int step) const;
     bool mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const;
     JobRankInputs rankInputsOf(const TrackedJob &job, const Occurrence &occurrence,
--- a/include/oleanderhall/scheduling/schedulersettings.h
+++ b/include/oleanderhall/scheduling/schedulersettings.h
@@ -28,6 +28,9 @@
     /// The longest time that a poll waits at the worker for a run to end; the platform allows
     /// 2,000 ms.
     Millis pollWait{1500};
+    /// The greatest age of a status that shows a long-running task as ready when a disruption of
+    /// its step is admitted. It covers one poll that waits and the answer of the next.
+    Millis maxStatusAge{3500};
     /// Delay before the next poll after a run has ended, so that one poll reads several ends: each
     /// poll is charged for.
     Millis pollSpacing{40};
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -66,6 +66,10 @@
     bool isTerminating = false; ///< A host command that ends all its runs is in flight.
     bool isPollInFlight = false;
     int failedPolls = 0; ///< Number of consecutive polls that failed.
+    Instant statusSent; ///< When the poll was sent that brought the latest status.
+    /// Until then a command that this owner can't follow may end runs. A status whose poll was sent
+    /// earlier doesn't show whether they go on.
+    Instant distrustedUntil;
     Instant nextPoll;
     Instant nextCpuLimitChange; ///< When the CPU limits of its runs may change again.
     std::int64_t lastHandledEnd = 0; ///< The highest sequence of an end that was handled.
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -116,9 +116,13 @@
         try {
             const web::json::value commandTimes = web::json::value::parse(row.value);
             for (const auto &[host, time] : commandTimes.as_object()) {
-                const Millis age(result.clockMs - time.as_number().to_int64());
-                m_planner.pause(HostId(host),
-                                now - age + m_settings.hostCommandPause + kCommandPauseMargin);
+                const std::int64_t sentAt = time.as_number().to_int64();
+                const Instant settled = now - Millis(result.clockMs - sentAt)
+                    + m_settings.hostCommandPause + kCommandPauseMargin;
+                m_planner.pause(HostId(host), settled);
+                m_earlierCommands[HostId(host)] = settled;
+                // The next record must contain it, too, in case of another change of owner.
+                m_commandTimes.try_emplace(HostId(host), sentAt);
             }
         } catch (const web::json::json_exception &parseError) {
             logWarning("host_intents_unreadable", {{"reason", parseError.what()}});
@@ -140,7 +144,7 @@
     for (const HostCommand &command : commands) {
         const WorkerId worker = m_workerOfHost[command.host];
         m_commandTimes[command.host] = time;
-        m_scheduler.setTerminating(worker, true);
+        m_scheduler.setTerminating(worker, true, now);
         pending.emplace_back(command, worker);
     }
     web::json::value record = web::json::value::object();
@@ -158,7 +162,8 @@
             const bool maySend = result.outcome == platform::TransactionResult::Outcome::Done
                 && self->m_ownership.maySendCommands(monotonicNow());
             for (const auto &[command, worker] : pending) {
-                if (maySend)
+                // A peer of the worker's tasks may have become unavailable during the write.
+                if (maySend && self->m_scheduler.mayEndRuns(worker, monotonicNow()))
                     self->send(command, worker);
                 else
                     self->onCommandAnswered(command, worker, HostCommandResult::Refused);
@@ -212,7 +217,7 @@
         }
         logInfo("host_order_was_done_before",
                 {{"host", verdict.host.name()}, {"worker", verdict.worker.name()}});
-        m_scheduler.setTerminating(verdict.worker, false);
+        m_scheduler.setTerminating(verdict.worker, false, now);
     }
     m_workerOfHost.clear();
     std::map<PoolId, std::vector<WorkerId>> expected;
@@ -241,7 +246,7 @@
     m_hostStates[host.id] = host.state;
 }
 
-WorkerUsage HostController::workerUsage(WorkerId id) const
+WorkerUsage HostController::workerUsage(WorkerId id, Instant now) const
 {
     const auto found = m_scheduler.workers().find(id);
     if (found == m_scheduler.workers().end())
@@ -250,7 +255,7 @@
     const WorkerState &worker = found->second;
     WorkerUsage usage{.isKnown = worker.isListed && worker.isSynced && !worker.isTerminating,
                       .isEmpty = worker.runs.empty(),
-                      .mayInterrupt = m_scheduler.mayInterrupt(id)};
+                      .mayInterrupt = m_scheduler.mayInterrupt(id, now)};
     for (const WorkerRun &run : worker.runs) {
         if (!run.isLongRunning)
             usage.batchCores += std::max(
@@ -259,11 +264,23 @@
     return usage;
 }
 
+/// Lets no run count as ready that a command of an earlier owner may still end.
+void HostController::distrustEarlierCommands(Instant now)
+{
+    std::erase_if(m_earlierCommands, [&](const auto &entry) { return now > entry.second; });
+    for (const auto &[host, settled] : m_earlierCommands) {
+        const auto worker = m_workerOfHost.find(host);
+        if (worker != m_workerOfHost.end())
+            m_scheduler.distrustRuns(worker->second, settled);
+    }
+}
+
 void HostController::step(Instant now)
 {
     if (now < m_nextPlan || !m_areRecordedCommandsRead)
         return;
     m_nextPlan = now + kPlanInterval;
+    distrustEarlierCommands(now);
     if (m_view.config)
         m_planner.setPools(m_view.config->pools);
     for (const auto &[number, wave] : m_view.waves) {
@@ -272,7 +289,8 @@
                           known == m_view.handledHosts.end() ? std::set<HostId>() : known->second);
     }
     const HostPlanner::Plan plan = m_planner.plan(
-        m_scheduler.poolDemands(now), [this](WorkerId worker) { return workerUsage(worker); }, now);
+        m_scheduler.poolDemands(now), [&](WorkerId worker) { return workerUsage(worker, now); },
+        now);
     m_scheduler.cordon(plan.cordoned);
     m_scheduler.setAwaitingMaintenance(plan.awaitingMaintenance);
     m_scheduler.evacuate(plan.evacuated, now);
@@ -314,7 +332,10 @@
     if (result == HostCommandResult::Done || result == HostCommandResult::Unknown)
         m_endVerifier.commandDone(command.host, worker, now);
     else
-        m_scheduler.setTerminating(worker, false);
+        m_scheduler.setTerminating(worker, false, now);
+    // A command without an answer may still be carried out.
+    if (result == HostCommandResult::Unknown)
+        m_scheduler.distrustRuns(worker, now + m_settings.hostCommandPause);
 }
 
 void HostController::publishWaveState()
--- a/src/node/hostcontroller.h
+++ b/src/node/hostcontroller.h
@@ -48,7 +48,8 @@
     void send(const HostCommand &command, WorkerId worker);
     void onCommandAnswered(const HostCommand &command, WorkerId worker, HostCommandResult result);
     void updateState(const HostInfo &host);
-    WorkerUsage workerUsage(WorkerId worker) const;
+    WorkerUsage workerUsage(WorkerId worker, Instant now) const;
+    void distrustEarlierCommands(Instant now);
     void recordHandledHosts(Instant now);
     void publishWaveState();
 
@@ -70,6 +71,8 @@
     std::map<std::int64_t, bool> m_unpublishedWaveStates; ///< By wave, whether it is completed.
     /// Time of the latest command to each host, in milliseconds on the table's clock.
     std::map<HostId, std::int64_t> m_commandTimes;
+    /// Until when commands of earlier owners may still be carried out.
+    std::map<HostId, Instant> m_earlierCommands;
     bool m_areRecordedCommandsRead = false;
     bool m_isPublishing = false;
     bool m_isRecordingHandledHosts = false;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -177,15 +177,24 @@
     }
 }
 
-void Scheduler::setTerminating(WorkerId worker, bool isTerminating)
+void Scheduler::setTerminating(WorkerId worker, bool isTerminating, Instant now)
 {
     const auto found = m_workers.find(worker);
     if (found == m_workers.end())
         return;
     found->second.isTerminating = isTerminating;
+    if (!isTerminating)
+        distrustRuns(worker, now);
     m_needsPlacement = true;
 }
 
+void Scheduler::distrustRuns(WorkerId worker, Instant until)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end())
+        found->second.distrustedUntil = std::max(found->second.distrustedUntil, until);
+}
+
 void Scheduler::onWorkerTerminated(WorkerId worker, Instant now)
 {
     const auto found = m_workers.find(worker);
--- a/src/scheduling/schedulerbudget.cpp
+++ b/src/scheduling/schedulerbudget.cpp
@@ -10,19 +10,23 @@
 
 } // namespace
 
-Scheduler::StepPresence Scheduler::presenceOf(const TaskId &id, WorkerId here) const
+bool Scheduler::isCertainlyReady(const WorkerState &worker, const WorkerRun &run, Instant now) const
+{
+    return run.phase == WorkerRun::Phase::Running && run.progressPercent >= kReadyPercent
+        && worker.failedPolls == 0 && !worker.isTerminating
+        && worker.statusSent >= worker.distrustedUntil
+        && now - worker.statusSent <= m_settings.maxStatusAge;
+}
+
+Scheduler::StepPresence Scheduler::presenceOf(const TaskId &id, WorkerId here, Instant now) const
 {
     StepPresence presence;
-    const auto isReady = [](const WorkerState &worker, const WorkerRun &run) {
-        return run.phase == WorkerRun::Phase::Running && run.progressPercent >= kReadyPercent
-            && worker.failedPolls == 0 && !worker.isTerminating;
-    };
     if (const auto found = m_workers.find(here); found != m_workers.end()) {
         for (const WorkerRun &run : found->second.runs) {
             if (run.task.job != id.job || run.task.occurrence != id.occurrence
                 || run.task.step != id.step)
                 continue;
-            presence.here += isReady(found->second, run) ? 1 : 0;
+            presence.here += isCertainlyReady(found->second, run, now) ? 1 : 0;
             // A run may have become ready since the last poll. One that is being stopped counts as
             // missing already, because this owner's stop command ends it.
             presence.possiblyHere += run.phase != WorkerRun::Phase::Stopping ? 1 : 0;
@@ -40,7 +44,8 @@
         const auto index = static_cast<int>(&task - step->tasks.data());
         const TaskId peer{id.job, id.occurrence, id.step, index};
         for (const WorkerRun &run : worker->second.runs) {
-            if (run.task == peer && run.run == task.lastRun && isReady(worker->second, run))
+            if (run.task == peer && run.run == task.lastRun
+                && isCertainlyReady(worker->second, run, now))
                 ++presence.elsewhere;
         }
     }
@@ -57,11 +62,8 @@
             const StepSpec *spec = findSpec(run.task);
             if (!run.isLongRunning || !spec || run.phase != WorkerRun::Phase::Running)
                 continue;
-            const StepPresence presence = presenceOf(run.task, id);
-            const int readyHere = run.progressPercent >= kReadyPercent
-                    && found->second.failedPolls == 0
-                ? 1
-                : 0;
+            const StepPresence presence = presenceOf(run.task, id, now);
+            const int readyHere = isCertainlyReady(found->second, run, now) ? 1 : 0;
             const int others = presence.elsewhere + presence.here - readyHere;
             if (spec->maxDisrupted >= 0 && spec->count - others > spec->maxDisrupted)
                 continue;
@@ -71,13 +73,17 @@
     }
 }
 
-bool Scheduler::mayInterrupt(WorkerId id) const
+bool Scheduler::mayInterrupt(WorkerId id, Instant now) const
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() || (!found->second.isTerminating && mayEndRuns(id, now));
+}
+
+bool Scheduler::mayEndRuns(WorkerId id, Instant now) const
 {
     const auto found = m_workers.find(id);
     if (found == m_workers.end())
         return true;
-    if (found->second.isTerminating)
-        return false;
     for (const WorkerRun &run : found->second.runs) {
         const StepSpec *spec = findSpec(run.task);
         if (!run.isLongRunning || !spec)
@@ -85,7 +91,7 @@
         if (spec->maxDisrupted < 0)
             continue;
         // All runs on the worker end at the same time.
-        const StepPresence presence = presenceOf(run.task, id);
+        const StepPresence presence = presenceOf(run.task, id, now);
         if (presence.possiblyHere > 0 && spec->count - presence.elsewhere > spec->maxDisrupted)
             return false;
     }
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -28,8 +28,11 @@
         worker.isSynced = true;
         // An earlier owner may have extended leases until now.
         worker.clock.recordGranted(status.clock + m_settings.workerLease);
+        // A run that the earlier owner has stopped is listed until the stop is complete.
+        distrustRuns(worker.info.id, now + m_settings.stopTimeout);
         m_needsPlacement = true;
     }
+    worker.statusSent = std::max(worker.statusSent, sent);
     std::set<std::pair<TaskId, std::int64_t>> present;
     for (const ActiveRun &reported : status.running)
         present.emplace(reported.task, reported.run);
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -106,8 +106,14 @@
     bool needsAnswerNow = !worker.isSynced || worker.failedPolls > 0 || hasUnrecorded;
     bool hasIdleCoreRuns = false;
     bool hasServingRuns = false;
+    bool hasBudgetedRuns = false;
     for (const WorkerRun &run : worker.runs) {
+        const StepSpec *spec = findSpec(run.task);
+        const bool isBudgeted = spec && spec->maxDisrupted >= 0;
+        hasBudgetedRuns = hasBudgetedRuns || isBudgeted;
         needsAnswerNow = needsAnswerNow
+            || (isBudgeted && worker.statusSent < worker.distrustedUntil
+                && now >= worker.distrustedUntil)
             || (run.phase == WorkerRun::Phase::Stopping && run.isStopConfirmed
                 && now - run.stopConfirmedAt > m_settings.stopTimeout);
         hasIdleCoreRuns = hasIdleCoreRuns || run.usesIdleCores;
@@ -121,6 +127,10 @@
     }
     if (!needsAnswerNow && !worker.runs.empty())
         request.maxWait = hasIdleCoreRuns && hasServingRuns ? kMixedPollWait : m_settings.pollWait;
+    // Ends no later than the distrust, so that the next poll can show the runs as ready.
+    if (hasBudgetedRuns && now < worker.distrustedUntil)
+        request.maxWait = std::min(request.maxWait,
+                                   std::chrono::ceil<Millis>(worker.distrustedUntil - now));
     worker.isPollInFlight = true;
     out.emplace_back(request);
 }
--- a/tests/scheduling/schedulerbudget_test.cpp
+++ b/tests/scheduling/schedulerbudget_test.cpp
@@ -16,7 +16,7 @@
     REQUIRE(starts[0].worker == starts[1].worker);
     confirm(starts);
     answerPoll(nextPoll(starts[0].worker), {readyRun(starts[0]), readyRun(starts[1])});
-    CHECK_FALSE(scheduler.mayInterrupt(starts[0].worker));
+    CHECK_FALSE(scheduler.mayInterrupt(starts[0].worker, now));
 }
 
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_tasksOnASilentWorker_maintenanceMustWait", "[scheduler]")
@@ -29,7 +29,7 @@
     confirm(starts);
     answerPoll(nextPoll(starts[0].worker), {readyRun(starts[0]), readyRun(starts[1])});
     answerPoll(nextPoll(starts[0].worker), {}, {}, CallResult::Unknown);
-    CHECK_FALSE(scheduler.mayInterrupt(starts[0].worker));
+    CHECK_FALSE(scheduler.mayInterrupt(starts[0].worker, now));
 }
 
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_evacuationOnASilentWorker_stopsOneTaskAtATime",
@@ -63,9 +63,9 @@
     const std::vector<StartCommand> starts = tick<StartCommand>();
     REQUIRE(starts.size() == 1);
     // The start is not answered yet, but the task may run already.
-    CHECK_FALSE(scheduler.mayInterrupt(starts[0].worker));
+    CHECK_FALSE(scheduler.mayInterrupt(starts[0].worker, now));
     confirm(starts);
-    CHECK_FALSE(scheduler.mayInterrupt(starts[0].worker));
+    CHECK_FALSE(scheduler.mayInterrupt(starts[0].worker, now));
 }
 
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_peerOnTheSameWorkerStarts_taskAtWorkStays",
@@ -87,3 +87,88 @@
             CHECK(stop.task != starts[0].task);
     }
 }
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_earlierOwnersStopUnderWay_maintenanceMustWait",
+                 "[scheduler]")
+{
+    // Guards against maintenance that exceeds a disruption budget after a change of owner: the
+    // earlier owner's stop was accepted before this owner's first poll, but the run is still
+    // listed for as long as a stop may take.
+    const JobSpec job = longRunningJob(1, 2, 1);
+    scheduler.addJob(job, {.id = job.id, .isReleased = true}, true, now);
+    const TaskId first{job.id, 0, 0, 0};
+    const TaskId second{job.id, 0, 0, 1};
+    for (const PollRequest &request : tick<PollRequest>()) {
+        const TaskId task = request.worker == w1 ? first : second;
+        answerPoll(request, {{.task = task, .run = 1, .progressPercent = 100}});
+    }
+    CHECK_FALSE(scheduler.mayInterrupt(w1, now));
+    const std::vector<PollRequest> early = tick<PollRequest>();
+    CHECK(early.size() == 2);
+    advance(SchedulerSettings{}.stopTimeout);
+    for (const PollRequest &request : early) {
+        CHECK(request.maxWait <= SchedulerSettings{}.stopTimeout);
+        const TaskId task = request.worker == w1 ? first : second;
+        answerPoll(request, {{.task = task, .run = 1, .progressPercent = 100}});
+    }
+    CHECK(scheduler.mayInterrupt(w1, now));
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_earlierOwnersHostCommandUnderWay_maintenanceMustWait",
+                 "[scheduler]")
+{
+    // Guards against maintenance that exceeds a disruption budget after a change of owner: the
+    // earlier owner's host command may still end the peer's worker, which answered just before.
+    syncAllWorkers();
+    const std::vector<StartCommand> starts = startOnBothWorkers();
+    const Instant settled = now + Millis(3000);
+    scheduler.distrustRuns(w2, settled);
+    CHECK_FALSE(scheduler.mayInterrupt(w1, now));
+    scheduler.evacuate({w1}, now);
+    CHECK(tick<StopCommand>().empty());
+    now = settled;
+    CHECK_FALSE(scheduler.mayInterrupt(w1, now)); // no status is from after the command
+    reportReady(starts);
+    CHECK(scheduler.mayInterrupt(w1, now));
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_hostCommandFailed_peersWaitForANewStatus", "[scheduler]")
+{
+    // Guards against maintenance that exceeds a disruption budget: what was read before a host
+    // command was found to have failed doesn't show whether the worker still runs.
+    syncAllWorkers();
+    const std::vector<StartCommand> starts = startOnBothWorkers();
+    scheduler.setTerminating(w2, true, now);
+    advance(Millis(100));
+    scheduler.setTerminating(w2, false, now);
+    CHECK_FALSE(scheduler.mayInterrupt(w1, now));
+    reportReady(starts);
+    CHECK(scheduler.mayInterrupt(w1, now));
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_statusIsOld_maintenanceMustWait", "[scheduler]")
+{
+    // Guards against maintenance that rests on what a busy or paused process read seconds ago.
+    syncAllWorkers();
+    const std::vector<StartCommand> starts = startOnBothWorkers();
+    CHECK(scheduler.mayInterrupt(w1, now));
+    advance(SchedulerSettings{}.maxStatusAge + Millis(1));
+    CHECK_FALSE(scheduler.mayInterrupt(w1, now));
+    scheduler.evacuate({w1}, now);
+    CHECK(tick<StopCommand>().empty());
+    reportReady(starts);
+    CHECK(scheduler.mayInterrupt(w1, now));
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_peerLostWhileCommandIsRecorded_commandMayNotBeSent",
+                 "[scheduler]")
+{
+    // Guards against a host command that was admitted before its record was written, and sent
+    // after a peer on another worker became unavailable.
+    syncAllWorkers();
+    startOnBothWorkers();
+    scheduler.setTerminating(w1, true, now);
+    CHECK(scheduler.mayEndRuns(w1, now));
+    answerPoll({.worker = w2}, {}, {}, CallResult::Unknown);
+    CHECK_FALSE(scheduler.mayEndRuns(w1, now));
+}
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -54,6 +54,7 @@
     {
         for (const PollRequest &request : tick<PollRequest>())
             answerPoll(request);
+        advance(SchedulerSettings{}.stopTimeout); // until no stop of an earlier owner is under way
     }
 
     void submit(JobSpec job)
@@ -86,6 +87,27 @@
         return {};
     }
 
+    /// Starts a step of two long-running tasks, one on each worker, that may miss one of them, and
+    /// reports both as ready.
+    std::vector<StartCommand> startOnBothWorkers()
+    {
+        JobSpec job = longRunningJob(1, 2, 1);
+        job.steps.front().maxPerWorker = 1;
+        submit(std::move(job));
+        std::vector<StartCommand> starts = tick<StartCommand>();
+        REQUIRE(starts.size() == 2);
+        confirm(starts);
+        reportReady(starts);
+        return starts;
+    }
+
+    /// Answers a poll of each worker, sent just now, with its run of `starts`, which is ready.
+    void reportReady(const std::vector<StartCommand> &starts)
+    {
+        for (const StartCommand &start : starts)
+            answerPoll({.worker = start.worker}, {readyRun(start)});
+    }
+
     static JobSpec longRunningJob(std::uint64_t id, int count, int maxDisrupted)
     {
         StepSpec step = makeStep(count, Millis(100));
