Take workers for terminated once a list of hosts shows their hosts without them

Cause: a new owner starts no task that an earlier owner may have started until it has read every listed worker, for up to 7 s. A crashed worker's tasks waited for its lease, 5 s, although the platform listed its host as down. Change: Scheduler::updateHosts() replaces setExpectedWorkers(). A worker that was in service discovery before the list was requested, and whose host is listed with another worker, or neither ready nor with one, has terminated; so has one that doesn't answer and was never on a host. Only the first list of a term names workers that must be read; lists are read often until all are. A late answer of a terminated worker is ignored.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "oleanderhall/jobs/jobprogress.h"
 #include "oleanderhall/jobs/jobspec.h"
+#include "oleanderhall/maintenance/hostinfo.h"
 #include "oleanderhall/scheduling/arrivalrate.h"
 #include "oleanderhall/scheduling/callresult.h"
 #include "oleanderhall/scheduling/congestionwindow.h"
@@ -56,6 +57,12 @@
     /// count as unavailable until a status whose poll was sent after that. Has no effect on unknown
     /// workers.
     void distrustRuns(WorkerId worker, Instant until);
+    /// Compares the workers with a complete list of hosts that was requested at `requested`.
+    /// A worker whose host is listed with another worker or without one has terminated. So has a
+    /// worker that was in service discovery before, does not answer and is on no host. A task that
+    /// an earlier owner may have started waits until this owner has read the runs of every worker
+    /// of the first list that has not terminated since.
+    void updateHosts(const std::vector<HostInfo> &hosts, Instant requested, Instant now);
     /// Records that a host command has terminated the worker.
     void onWorkerTerminated(WorkerId worker, Instant now);
 
@@ -93,16 +100,16 @@
     void evacuate(const std::set<WorkerId> &workers, Instant now);
     /// Returns the capacity that the work of each pool requires.
     PoolDemands poolDemands(Instant now);
-    /// Sets the workers that the platform lists in a pool. A task that an earlier owner may have
-    /// started waits until this owner has read the runs of all of them.
-    void setExpectedWorkers(PoolId pool, std::vector<WorkerId> workers);
     /// Sets the workers whose hosts will be maintained soon. Long-running tasks prefer others.
     void setAwaitingMaintenance(std::set<WorkerId> workers)
     {
         m_awaitingMaintenance = std::move(workers);
     }
-    /// Returns whether this owner has read the runs of every worker that may run tasks of the pool.
+    /// Returns whether this owner has read the runs of every worker on which an earlier owner may
+    /// have started tasks of the pool.
     bool isSynced(PoolId pool) const;
+    /// Returns the same for all pools.
+    bool isSynced() const;
 
 private:
     /// A step with tasks to start.
@@ -123,6 +130,13 @@
         Instant nextRanking;
     };
 
+    /// Where a worker ran when this owner took over.
+    struct EarlierWorker
+    {
+        HostId host;
+        PoolId pool;
+    };
+
     /// The number of a step's tasks that are ready, on one worker and elsewhere.
     struct StepPresence
     {
@@ -215,7 +229,10 @@
     CongestionWindow m_startWindow; ///< Limits the start commands in flight.
     PoolId m_firstPool; ///< The pool whose tasks are placed first next time.
     RunTimeModel m_runTimes;
-    std::map<PoolId, std::vector<WorkerId>> m_expectedWorkers; ///< As the platform lists them.
+    /// When the first list of hosts of this term was requested.
+    std::optional<Instant> m_firstHostList;
+    /// The workers of that list whose hosts have not been listed without them since.
+    std::map<WorkerId, EarlierWorker> m_earlierWorkers;
     std::set<WorkerId> m_awaitingMaintenance;
     std::map<PoolId, ArrivalRate> m_arrivals; ///< Of work, in core-seconds per second.
     TicketCache m_tickets;
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -59,6 +59,8 @@
     std::vector<WorkerRun> runs;
     Resources used; ///< Sum of the reservations of `runs`.
     bool isListed = true; ///< It has an entry in service discovery.
+    Instant listedAt; ///< When this owner first saw that entry.
+    HostId host; ///< As of the latest list of hosts that contained the worker; empty before.
     bool isSynced = false; ///< This owner has raised its fencing token and read its runs.
     bool hasTerminated = false; ///< Another incarnation runs at its address, or its host was
                                 ///< maintained.
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -195,9 +195,11 @@
             logWarning("host_list_not_read");
         const auto shortInterval = kShortHostListInterval
             + self->m_workerOfHost.size() * kListIntervalPerHost;
-        self->m_listTimer.expires_after(self->hasPendingChanges() ? std::min<Instant::duration>(
-                                            shortInterval, kHostListInterval)
-                                                                  : kHostListInterval);
+        // Tasks that wait for unread workers start once a list shows that these have terminated.
+        const bool isUrgent = self->hasPendingChanges() || !self->m_scheduler.isSynced();
+        self->m_listTimer.expires_after(
+            isUrgent ? std::min<Instant::duration>(shortInterval, kHostListInterval)
+                     : kHostListInterval);
         self->m_listTimer.async_wait([weak](const boost::system::error_code &error) {
             const auto strong = weak.lock();
             if (!error && strong && !strong->m_isStopped)
@@ -219,17 +221,12 @@
                 {{"host", verdict.host.name()}, {"worker", verdict.worker.name()}});
         m_scheduler.setTerminating(verdict.worker, false, now);
     }
+    m_scheduler.updateHosts(hosts, requestedAt, now);
     m_workerOfHost.clear();
-    std::map<PoolId, std::vector<WorkerId>> expected;
     for (const HostInfo &host : hosts) {
         m_workerOfHost[host.id] = host.worker;
         updateState(host);
-        std::vector<WorkerId> &workers = expected[host.pool];
-        if (!host.worker.empty() && host.state != HostInfo::State::Down)
-            workers.push_back(host.worker);
     }
-    for (auto &[pool, workers] : expected)
-        m_scheduler.setExpectedWorkers(pool, std::move(workers));
 }
 
 void HostController::updateState(const HostInfo &host)
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -45,6 +45,7 @@
         if (found == m_workers.end()) {
             found = m_workers.emplace(info.id, WorkerState(info, m_settings.clockDrift)).first;
             found->second.nextPoll = now;
+            found->second.listedAt = now;
             logDecision({"worker_listed",
                          {{"worker", info.id.name()},
                           {"pool", info.pool.name()},
@@ -329,24 +330,6 @@
     return result;
 }
 
-bool Scheduler::isSynced(PoolId pool) const
-{
-    const bool areListedSynced = std::all_of(
-        m_workers.begin(), m_workers.end(), [&](const auto &entry) {
-            const WorkerState &worker = entry.second;
-            return worker.info.pool != pool || worker.isSynced || worker.hasTerminated;
-        });
-    // A worker behind a network partition may lose its entry in service discovery while its runs
-    // go on, so the platform's list of workers must be covered, too.
-    const auto expected = m_expectedWorkers.find(pool);
-    return areListedSynced && expected != m_expectedWorkers.end()
-        && std::all_of(expected->second.begin(), expected->second.end(), [&](WorkerId id) {
-               const auto found = m_workers.find(id);
-               return found != m_workers.end()
-                   && (found->second.isSynced || found->second.hasTerminated);
-           });
-}
-
 JobProgress Scheduler::progressOf(const TrackedJob &job) const
 {
     JobProgress progress{.id = job.spec.id,
--- a/src/scheduling/schedulerdemand.cpp
+++ b/src/scheduling/schedulerdemand.cpp
@@ -16,11 +16,6 @@
 
 } // namespace
 
-void Scheduler::setExpectedWorkers(PoolId pool, std::vector<WorkerId> workers)
-{
-    m_expectedWorkers[pool] = std::move(workers);
-}
-
 PoolDemands Scheduler::poolDemands(Instant now)
 {
     struct Load
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -211,6 +211,8 @@
         return;
     WorkerState &worker = *answering;
     worker.isPollInFlight = false;
+    if (worker.hasTerminated)
+        return; // a late answer
     if (result != CallResult::Ok) {
         ++worker.failedPolls;
         constexpr int kMaxBackoffFactor = 4;
--- a/tests/scheduling/scheduler_property_test.cpp
+++ b/tests/scheduling/scheduler_property_test.cpp
@@ -136,14 +136,16 @@
         owner->token = ++m_token;
         owner->scheduler = std::make_unique<Scheduler>(SchedulerSettings{}, m_token - 1, m_now);
         std::vector<WorkerInfo> infos;
-        std::vector<WorkerId> expected;
+        std::vector<HostInfo> hosts;
         for (const auto &[id, worker] : m_workers) {
             infos.push_back(worker.info);
-            if (worker.info.pool == PoolId(kPool))
-                expected.push_back(id);
+            hosts.push_back({.id = HostId("host of " + id.name()),
+                             .pool = worker.info.pool,
+                             .state = HostInfo::State::Ready,
+                             .worker = id});
         }
         owner->scheduler->setWorkers(infos, m_now);
-        owner->scheduler->setExpectedWorkers(PoolId(kPool), expected);
+        owner->scheduler->updateHosts(hosts, m_now, m_now);
         for (const auto &[id, stored] : m_store) {
             owner->scheduler->addJob(stored.spec, stored.progress, true, m_now);
             if (stored.isCancelled)
--- a/tests/scheduling/schedulerplacement_test.cpp
+++ b/tests/scheduling/schedulerplacement_test.cpp
@@ -91,7 +91,7 @@
     // owner's availability zone, jobs that were never started waited 7 s for leases to expire.
     Scheduler successor(SchedulerSettings{}, 1, now);
     successor.setWorkers({makeWorker("w1", "pool", 8000), makeWorker("w2", "pool", 8000)}, now);
-    successor.setExpectedWorkers(PoolId("pool"), {w1, w2});
+    successor.updateHosts({makeHost("h1", w1), makeHost("h2", w2)}, now, now);
     const JobSpec job = makeJob(1, "pool", {makeStep(1, Millis(100))});
     successor.addJob(job, {.id = job.id}, true, now);
     int starts = 0;
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -17,7 +17,15 @@
     SchedulerTest()
     {
         scheduler.setWorkers({makeWorker("w1", "pool", 8000), makeWorker("w2", "pool", 8000)}, now);
-        scheduler.setExpectedWorkers(PoolId("pool"), {w1, w2});
+        scheduler.updateHosts({makeHost("h1", w1), makeHost("h2", w2)}, now, now);
+    }
+
+    static HostInfo makeHost(const char *id, WorkerId worker)
+    {
+        return {.id = HostId(id),
+                .pool = PoolId("pool"),
+                .state = worker.empty() ? HostInfo::State::Down : HostInfo::State::Ready,
+                .worker = worker};
     }
 
     void advance(Millis time) { now += time; }
