Leave the release of jobs to the successor while the owner seems lost

Cause: a job is stored as released where its queue has no waiting jobs, so that a living owner can start it at once. Jobs of a burst that arrived between an owner's loss and the take-over were stored so, too; their tasks then waited up to 7 s for workers that the successor could not reach, although no owner had started them. Change: FleetView::mayReleaseAtOnce(): not if the owner's latest report is older than one and a half renewals.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -198,9 +198,7 @@
         co_return refuse(kUnavailable, "table_unreachable", kRetryAfter);
     }
     job.acceptedMs = m_view.tableTime(monotonicNow());
-    // Without waiting jobs this one may start at once; otherwise the owner releases it in its turn.
-    const auto waiting = m_view.report.waitingJobs.find(target.queue.name);
-    job.isReleased = waiting == m_view.report.waitingJobs.end() || waiting->second == 0;
+    job.isReleased = m_view.mayReleaseAtOnce(target.queue.name, monotonicNow());
     auto oneShot = std::make_shared<OneShot<Stored>>(m_io.get_executor());
     m_writers[static_cast<std::size_t>(jobPartition(id))]->store(
         job, target.deadline, [oneShot](StoreOutcome outcome, std::uint64_t version) {
--- a/src/node/fleetview.h
+++ b/src/node/fleetview.h
@@ -45,6 +45,21 @@
     static constexpr Millis kContactTimeout{2500};
 
     bool isTableReachable(Instant now) const { return now - lastContact < kContactTimeout; }
+
+    /// The greatest age of the latest report of an owner that is alive: one and a half times the
+    /// interval at which an owner renews its lease.
+    static constexpr Millis kReportLifetime{750};
+
+    /// Returns whether the owner may start a new job of the queue without recording its release
+    /// first. If jobs of the queue wait, the owner releases the new one in its turn. If the owner
+    /// seems lost, its successor must be able to tell that the job was never started: a released
+    /// job waits for the leases of workers that the successor can't reach.
+    bool mayReleaseAtOnce(const std::string &queue, Instant now) const
+    {
+        const auto waiting = report.waitingJobs.find(queue);
+        return now - report.receivedAt <= kReportLifetime
+            && (waiting == report.waitingJobs.end() || waiting->second == 0);
+    }
 };
 
 } // namespace oleanderhall
