--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -23,6 +23,23 @@
 constexpr int kGatewayError = 502;
 constexpr int kOutcomeUnknown = 504;
 
+/// Counts a coroutine while it runs.
+class CountGuard
+{
+public:
+    explicit CountGuard(int &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    CountGuard(const CountGuard &) = delete;
+    CountGuard &operator=(const CountGuard &) = delete;
+    ~CountGuard() { --m_count; }
+
+private:
+    int &m_count;
+};
+
 } // namespace
 
 Callers::Callers(asio::io_context &io, Deployment &deployment, InvariantChecker &checker,
@@ -42,6 +59,24 @@
     asio::co_spawn(m_io, generateJobs(perSecond, duration), asio::detached);
 }
 
+void Callers::startLongRunningJobs(Millis duration)
+{
+    constexpr int kTasks = 5;
+    m_longRunningTime = duration;
+    for (const QueueConfig &queue : m_deployment.config().queues) {
+        for (const int maxDisrupted : {1, 1, 2}) {
+            StepSpec step{.count = kTasks};
+            step.need = {.milliCores = 500, .memoryMb = 64};
+            step.isLongRunning = true;
+            step.maxDisrupted = maxDisrupted;
+            JobSpec job{.id = {(std::uint64_t{m_random()} << 32) | m_random()}, .queue = queue};
+            job.payload = "ms=0 fail=0";
+            job.steps.push_back(step);
+            asio::co_spawn(m_io, runCaller(std::move(job)), asio::detached);
+        }
+    }
+}
+
 asio::awaitable<void> Callers::wait(Millis duration)
 {
     asio::steady_timer timer(m_io, duration);
@@ -50,6 +85,7 @@
 
 asio::awaitable<void> Callers::generateJobs(double perSecond, Millis duration)
 {
+    const CountGuard guard(m_active);
     constexpr double kMillisPerSecond = 1000;
     const Instant end = std::chrono::steady_clock::now() + duration;
     std::exponential_distribution<double> gap(perSecond / kMillisPerSecond);
@@ -125,22 +161,35 @@
 
 asio::awaitable<void> Callers::runCaller(JobSpec job)
 {
+    const CountGuard guard(m_active);
     if (!co_await submit(job))
         co_return;
-    const bool wantsCancel = m_random() % 12 == 0;
-    int polls = 0;
-    for (;;) {
+    const bool isLongRunning = job.steps.front().isLongRunning;
+    if (isLongRunning || m_random() % 12 == 0) {
+        co_await wait(isLongRunning ? m_longRunningTime : 2 * kPollInterval);
+        co_await cancel(job);
+    }
+    co_await awaitEnd(job);
+}
+
+asio::awaitable<void> Callers::cancel(const JobSpec &job)
+{
+    m_checker.onCancelSent(job.id);
+    bool isConfirmed = false;
+    while (!isConfirmed) {
+        const HttpResult response = co_await call("DELETE", job, "");
+        isConfirmed = response.outcome == HttpResult::Outcome::Responded
+            && (response.status == kOk || response.status == kGone);
+        co_await wait(kRetryDelay);
+    }
+}
+
+/// Polls the job's state until it is final.
+asio::awaitable<void> Callers::awaitEnd(const JobSpec &job)
+{
+    bool isEnded = false;
+    while (!isEnded) {
         co_await wait(kPollInterval);
-        if (wantsCancel && ++polls == 2) {
-            m_checker.onCancelSent(job.id);
-            for (;;) {
-                const HttpResult response = co_await call("DELETE", job, "");
-                if (response.outcome == HttpResult::Outcome::Responded
-                    && (response.status == kOk || response.status == kGone))
-                    break;
-                co_await wait(kRetryDelay);
-            }
-        }
         const HttpResult response = co_await call("GET", job, "");
         if (response.outcome != HttpResult::Outcome::Responded
             || (response.status != kOk && response.status != kGone))
@@ -148,8 +197,7 @@
         const auto state = response.status == kGone ? std::nullopt
                                                     : platform::decodeJobState(response.body);
         m_checker.onStateReported(job.id, state);
-        if (!state || isFinal(*state))
-            co_return;
+        isEnded = !state || isFinal(*state);
     }
 }
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -27,6 +27,11 @@
     /// Submits `perSecond` jobs per second on average for `duration`. Each job has a caller of its
     /// own, which polls the job until it is finished.
     void start(double perSecond, Millis duration);
+    /// Submits long-running jobs with disruption budgets to each queue and cancels them after
+    /// `duration`.
+    void startLongRunningJobs(Millis duration);
+    /// Returns whether jobs are still submitted or followed.
+    bool isAnyActive() const { return m_active > 0; }
     /// Returns how many jobs a node accepted.
     std::size_t accepted() const { return m_accepted; }
     /// Returns how many jobs were certainly not accepted.
@@ -37,6 +42,8 @@
 private:
     boost::asio::awaitable<void> generateJobs(double perSecond, Millis duration);
     boost::asio::awaitable<void> runCaller(JobSpec job);
+    boost::asio::awaitable<void> cancel(const JobSpec &job);
+    boost::asio::awaitable<void> awaitEnd(const JobSpec &job);
     boost::asio::awaitable<bool> submit(const JobSpec &job);
     boost::asio::awaitable<HttpResult> call(const std::string &method, const JobSpec &job,
                                             std::string body);
@@ -48,6 +55,8 @@
     InvariantChecker &m_checker;
     std::mt19937 m_random;
     std::map<std::string, std::shared_ptr<HttpClient>> m_clients; ///< Keyed by node address.
+    Millis m_longRunningTime{0}; ///< After which callers cancel long-running jobs.
+    int m_active = 0; ///< Coroutines that submit or follow jobs.
     std::size_t m_accepted = 0;
     std::size_t m_refused = 0;
     std::size_t m_unknown = 0;
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -3,7 +3,11 @@
 #include "../platform/standin/standinrows.h"
 #include "../platform/tablenames.h"
 
+#include "oleanderhall/core/clock.h"
+
+#include <algorithm>
 #include <chrono>
+#include <csignal>
 
 namespace oleanderhall::soak {
 
@@ -13,11 +17,18 @@
 constexpr Millis kEntryExpiry{1500}; // from a worker's crash to the removal of its table entry
 // Offsets from DeploymentSettings::firstPort.
 constexpr int kTablePortOffset = 0;
+constexpr int kHostPortOffset = 1;
 constexpr int kTableProxyPortOffset = 10;
 constexpr int kNodePortOffset = 20;
 constexpr int kPortsPerNode = 3;
 constexpr int kWorkerPortOffset = 50; // two ports per worker: proxy and server
 constexpr const char *kAddress = "127.0.0.1";
+constexpr const char *kSparePool = "pool-spare";
+constexpr Millis kWaveDuration{8000};
+constexpr int kMaxHostsAtOnce = 3;
+constexpr Millis kInterruptionInterval{2500};
+/// How long after a fault of its connections a command to a worker may still arrive late.
+constexpr Millis kLateCommandTime{5000};
 
 CallerLimits serverLimits()
 {
@@ -52,6 +63,7 @@
     , m_settings(settings)
     , m_checker(checker)
     , m_table(io, settings.seed)
+    , m_random(settings.seed)
     , m_timer(io)
 {
     const auto port = [&](int offset) {
@@ -64,6 +76,10 @@
     m_config = {.version = {1},
                 .queues = {makeQueue("alpha", "pool-a"), makeQueue("beta", "pool-b")},
                 .pools = {{.id = PoolId("pool-a")}, {.id = PoolId("pool-b")}}};
+    if (settings.hasHosts) {
+        m_config.pools.push_back({.id = PoolId(kSparePool), .isSpare = true});
+        serveHosts();
+    }
     publishConfig();
     m_workers.resize(static_cast<std::size_t>(settings.workers));
     for (int index = 0; index < settings.workers; ++index) {
@@ -79,6 +95,7 @@
             },
             m_metrics);
         worker.server->start(kAddress, target);
+        worker.pool = PoolId(index % 2 == 0 ? "pool-a" : "pool-b");
         startWorker(index);
     }
     for (int index = 0; index < settings.nodes; ++index) {
@@ -88,12 +105,23 @@
         const int nodePort = port(kNodePortOffset + kPortsPerNode * index);
         const std::string name = "node-" + std::to_string(index);
         node.callerAddress = addressAt(nodePort);
-        node.process = std::make_unique<NodeProcess>(
-            std::vector<std::string>{
-                settings.nodeProgram, "--id", name, "--zone", "z" + std::to_string(index % 2),
-                "--callers", node.callerAddress, "--health", addressAt(nodePort + 1), "--metrics",
-                addressAt(nodePort + 2), "--table", addressAt(port(kTableProxyPortOffset + index))},
-            settings.logFolder + "/" + name + ".log");
+        std::vector<std::string> command{settings.nodeProgram,
+                                         "--id",
+                                         name,
+                                         "--zone",
+                                         "z" + std::to_string(index % 2),
+                                         "--callers",
+                                         node.callerAddress,
+                                         "--health",
+                                         addressAt(nodePort + 1),
+                                         "--metrics",
+                                         addressAt(nodePort + 2),
+                                         "--table",
+                                         addressAt(port(kTableProxyPortOffset + index))};
+        if (settings.hasHosts)
+            command.insert(command.end(), {"--hosts", addressAt(port(kHostPortOffset))});
+        node.process = std::make_unique<NodeProcess>(std::move(command),
+                                                     settings.logFolder + "/" + name + ".log");
         node.process->start();
         m_nodes.push_back(std::move(node));
     }
@@ -130,6 +158,8 @@
 void Deployment::startWorker(int index)
 {
     Worker &worker = m_workers[static_cast<std::size_t>(index)];
+    if (worker.isHostAway || worker.pool == PoolId(kSparePool))
+        return;
     if (worker.incarnation && !worker.incarnation->hasTerminated())
         crashWorker(index); // an overlapping fault has already restarted this worker
     ++worker.incarnationCount;
@@ -137,11 +167,87 @@
         + std::to_string(worker.incarnationCount);
     worker.incarnation = std::make_shared<platform::StandinWorker>(m_io, id, m_checker);
     const WorkerInfo info{.id = WorkerId(id),
-                          .pool = PoolId(index % 2 == 0 ? "pool-a" : "pool-b"),
+                          .pool = worker.pool,
                           .address = addressAt(worker.port),
                           .zone = ZoneId("z" + std::to_string(index % 2)),
                           .capacity = {.milliCores = 8000, .memoryMb = 8192}};
     m_table.put(platform::kWorkerTable, id, platform::encodeWorker(info));
+    if (m_hosts)
+        m_hosts->setHost(hostOf(index));
+}
+
+void Deployment::serveHosts()
+{
+    const auto indexOf = [](HostId host) { return std::stoi(host.name().substr(1)); };
+    m_hosts = std::make_unique<platform::StandinHosts>(
+        m_io, m_settings.seed,
+        platform::StandinHosts::Events{
+            .onReceived = [this](const std::string &holder) { interruptOwner(holder); },
+            .onCommand = [this, indexOf](HostId host) { onHostCommand(indexOf(host)); },
+            .onReady =
+                [this, indexOf](HostId host, PoolId pool) {
+                    Worker &worker = m_workers[static_cast<std::size_t>(indexOf(host))];
+                    worker.pool = pool;
+                    worker.isHostAway = false;
+                    startWorker(indexOf(host));
+                }});
+    m_hostServer = std::make_shared<CallerServer>(
+        m_io, serverLimits(),
+        [this](HttpRequest &request) { return m_hosts->handleRequest(request); }, m_metrics);
+    m_hostServer->start(kAddress,
+                        static_cast<std::uint16_t>(m_settings.firstPort + kHostPortOffset));
+    m_checker.setDelayTest(
+        [this](const std::string &worker) { return mayHaveDelayedCommands(worker); });
+}
+
+HostInfo Deployment::hostOf(int index) const
+{
+    const Worker &worker = m_workers[static_cast<std::size_t>(index)];
+    return {.id = HostId("h" + std::to_string(index)),
+            .pool = worker.pool,
+            .state = HostInfo::State::Ready,
+            .zone = ZoneId("z" + std::to_string(index % 2)),
+            .capacity = {.milliCores = 8000, .memoryMb = 8192},
+            .worker = WorkerId(worker.incarnation->id())};
+}
+
+void Deployment::onHostCommand(int index)
+{
+    Worker &worker = m_workers[static_cast<std::size_t>(index)];
+    worker.isHostAway = true;
+    if (worker.incarnation->hasTerminated())
+        return;
+    m_checker.onHostCommand(worker.incarnation->id());
+    crashWorker(index);
+}
+
+void Deployment::interruptOwner(const std::string &node)
+{
+    const Instant now = monotonicNow();
+    if (now < m_nextInterruption || m_random() % 3 != 0)
+        return;
+    m_nextInterruption = now + kInterruptionInterval;
+    const auto index = static_cast<std::size_t>(std::stoi(node.substr(node.find('-') + 1)));
+    m_nodes[index].process->signal(m_random() % 2 == 0 ? SIGTERM : SIGKILL);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kInterruptionInterval);
+    timer->async_wait([this, timer](const boost::system::error_code &) { restartNodes(); });
+}
+
+bool Deployment::mayHaveDelayedCommands(const std::string &worker) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const Worker &known) {
+        return known.incarnation->id() == worker
+            && known.proxy->isDisturbedSince(monotonicNow() - kLateCommandTime);
+    });
+}
+
+void Deployment::startWave()
+{
+    Wave wave{.number = ++m_lastWave, .duration = kWaveDuration, .maxAtOnce = kMaxHostsAtOnce};
+    for (int index = 0; index < m_settings.workers; ++index)
+        wave.hosts.push_back(hostOf(index).id);
+    m_table.put(platform::kOperatorTable, "wave/" + std::to_string(wave.number),
+                platform::encodeWave(wave));
 }
 
 void Deployment::crashWorker(int index)
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -4,6 +4,7 @@
 #include "invariantchecker.h"
 #include "nodeprocess.h"
 
+#include "../platform/standin/standinhosts.h"
 #include "../platform/standin/standintable.h"
 #include "../platform/standin/standinworker.h"
 #include "../src/daemon/metrics.h"
@@ -16,6 +17,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,8 @@
     std::uint16_t firstPort = 23000; ///< First of 100 consecutive ports.
     int nodes = 4;
     int workers = 8;
+    /// Each worker runs on a host of its own, which the nodes move and maintain in waves.
+    bool hasHosts = false;
     std::uint32_t seed = 1;
 };
 
@@ -55,6 +59,8 @@
         std::unique_ptr<FaultProxy> proxy;
         std::uint16_t port = 0; ///< Port of the proxy, which the nodes connect to.
         int incarnationCount = 0;
+        PoolId pool;
+        bool isHostAway = false; ///< Its host is moved or maintained.
     };
 
     std::vector<Node> &nodes() { return m_nodes; }
@@ -63,9 +69,12 @@
     const FleetConfig &config() const { return m_config; }
     /// Publishes a new configuration version with longer request time limits.
     void changeConfig();
+    /// Requests a maintenance wave over all hosts.
+    void startWave();
     /// Terminates a worker and its runs. Its entry is removed from the worker table after 1.5 s.
     void crashWorker(int index);
-    /// Starts a new incarnation of a worker under a new id; terminates a running one first.
+    /// Starts a new incarnation of a worker under a new id; terminates a running one first. Does
+    /// nothing while the worker's host is moved or maintained, or is a spare.
     void startWorker(int index);
     /// Writes an unreadable row to the worker table.
     void writeDamagedRow();
@@ -76,6 +85,14 @@
 private:
     void tick();
     void publishConfig();
+    void serveHosts();
+    void onHostCommand(int index);
+    /// Now and then stops or kills the node that has just sent a command to a host, so that the
+    /// command is carried out under the next owner.
+    void interruptOwner(const std::string &node);
+    HostInfo hostOf(int index) const;
+    /// Returns whether a fault may have delayed a command to the worker process.
+    bool mayHaveDelayedCommands(const std::string &worker) const;
 
     boost::asio::io_context &m_io;
     DeploymentSettings m_settings;
@@ -83,6 +100,11 @@
     Metrics m_metrics;
     platform::StandinTable m_table;
     std::shared_ptr<CallerServer> m_tableServer;
+    std::unique_ptr<platform::StandinHosts> m_hosts;
+    std::shared_ptr<CallerServer> m_hostServer;
+    std::int64_t m_lastWave = 0;
+    std::mt19937 m_random;
+    Instant m_nextInterruption{};
     std::vector<Node> m_nodes;
     std::vector<Worker> m_workers;
     /// Terminated incarnations, kept because coroutines may still use them.
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -26,10 +26,11 @@
     /// with its scheduled time in ms.
     const std::vector<std::string> &history() const { return m_history; }
 
-private:
     using Action = std::function<void()>;
-
+    /// Schedules an action of the caller's own, to be listed in the history.
     void schedule(Millis time, const std::string &what, Action action);
+
+private:
     void planNodeFault(Millis begin, Millis length);
     void planTableFault(Millis begin, Millis length);
     void planConnectionFault(Millis begin, Millis length);
--- a/soak/faultproxy.cpp
+++ b/soak/faultproxy.cpp
@@ -1,5 +1,7 @@
 #include "faultproxy.h"
 
+#include "oleanderhall/core/clock.h"
+
 #include <boost/asio.hpp>
 
 #include <array>
@@ -83,6 +85,23 @@
     close(*connection);
 }
 
+void FaultProxy::setMode(Mode mode)
+{
+    m_mode = mode;
+    m_disturbanceEnded = monotonicNow();
+}
+
+void FaultProxy::setDelay(Millis delay)
+{
+    m_delay = delay;
+    m_disturbanceEnded = monotonicNow();
+}
+
+bool FaultProxy::isDisturbedSince(Instant time) const
+{
+    return m_mode != Mode::Pass || m_delay.count() > 0 || m_disturbanceEnded >= time;
+}
+
 void FaultProxy::resetConnections()
 {
     for (const auto &entry : m_connections) {
--- a/soak/faultproxy.h
+++ b/soak/faultproxy.h
@@ -28,9 +28,11 @@
 
     FaultProxy(boost::asio::io_context &io, std::uint16_t port, std::uint16_t target);
 
-    void setMode(Mode mode) { m_mode = mode; }
+    void setMode(Mode mode);
     /// Delays each chunk of data, in both directions.
-    void setDelay(Millis delay) { m_delay = delay; }
+    void setDelay(Millis delay);
+    /// Returns whether data has been held back or lost since `time`.
+    bool isDisturbedSince(Instant time) const;
     /// Resets all open connections.
     void resetConnections();
 
@@ -58,6 +60,7 @@
     std::uint16_t m_target;
     Mode m_mode = Mode::Pass;
     Millis m_delay{0};
+    Instant m_disturbanceEnded{}; ///< The latest end of a mode or delay.
     std::list<std::weak_ptr<Connection>> m_connections;
 };
 
--- a/soak/invariantchecker.cpp
+++ b/soak/invariantchecker.cpp
@@ -101,11 +101,32 @@
                          + " was done");
     }
     task.running[run] = worker;
+    const StepSpec &step = job.spec.steps[static_cast<std::size_t>(id.step)];
+    if (step.isLongRunning)
+        m_availability.onRunStarted(id, step, worker);
+}
+
+void InvariantChecker::checkCommand(const TaskId &id)
+{
+    const auto violation = m_availability.onCommand(id);
+    if (violation && !m_jobs[id.job].isCancelSent)
+        addViolation(*violation);
+}
+
+void InvariantChecker::onHostCommand(const std::string &worker)
+{
+    for (const TaskId &task : m_availability.tasksOn(worker))
+        checkCommand(task);
 }
 
 void InvariantChecker::onRunEnded(const TaskId &id, std::int64_t run, RunOutcome outcome)
 {
     Task &task = m_tasks[id];
+    const auto running = task.running.find(run);
+    if (outcome == RunOutcome::Stopped && running != task.running.end()
+        && !(m_delayTest && m_delayTest(running->second)))
+        checkCommand(id);
+    m_availability.onRunEnded(id);
     task.running.erase(run);
     task.outcomes[run] = outcome;
     task.isDone = task.isDone || outcome == RunOutcome::Done;
--- a/soak/invariantchecker.h
+++ b/soak/invariantchecker.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "availabilitychecker.h"
+
 #include "../platform/standin/runobserver.h"
 
 #include "oleanderhall/core/time.h"
 #include "oleanderhall/jobs/jobspec.h"
 #include "oleanderhall/jobs/jobstate.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,6 +21,7 @@
 /// - A task has at most one active run, which starts after the steps that the task depends on.
 /// - A task is not started again after its completion or its last allowed failure was acknowledged.
 /// - No accepted job is lost or reported with a wrong state.
+/// - No command ends a long-running task beyond the disruption budget of its step.
 class InvariantChecker : public platform::RunObserver
 {
 public:
@@ -34,6 +38,11 @@
     void onRunStarted(const TaskId &task, std::int64_t run, const std::string &worker) override;
     void onRunEnded(const TaskId &task, std::int64_t run, RunOutcome outcome) override;
     void onEndAcknowledged(const TaskId &task, std::int64_t run) override;
+    /// A command to the host of `worker` ends all runs there.
+    void onHostCommand(const std::string &worker);
+    /// Sets a test for whether a fault may have delayed commands to a worker. The time of their
+    /// arrival shows nothing.
+    void setDelayTest(std::function<bool(const std::string &)> test) { m_delayTest = test; }
 
     /// Checks that every accepted job is finished and none of its tasks still runs. Call it when
     /// all faults have ended and the jobs had time to finish.
@@ -64,10 +73,13 @@
     };
 
     void addViolation(const std::string &what);
+    void checkCommand(const TaskId &task);
     bool isStepDone(const Job &job, int step) const;
 
     std::map<JobId, Job> m_jobs;
     std::map<TaskId, Task> m_tasks;
+    AvailabilityChecker m_availability;
+    std::function<bool(const std::string &)> m_delayTest;
     std::vector<std::string> m_violations;
     std::size_t m_runs = 0;
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -22,6 +22,8 @@
 
 constexpr Millis kStartupTime{4000}; // until the nodes are up and one is the owner
 constexpr Millis kCheckInterval{100};
+constexpr Millis kFirstWave{2000};
+constexpr Millis kWaveInterval{7000};
 /// Time for all jobs to finish after the last fault. Covers a lost lease, a change of owner, the
 /// wait for a worker that can't be synced (7 s) and the work itself.
 constexpr Millis kFinishTimeout{40000};
@@ -52,12 +54,18 @@
     FaultInjector faults(io, deployment, settings.deployment.seed);
     const Millis time = std::chrono::seconds(settings.faultSeconds);
     callers.start(settings.jobsPerSecond, time);
+    if (settings.deployment.hasHosts) {
+        callers.startLongRunningJobs(time);
+        for (Millis begin = kFirstWave; begin < time; begin += kWaveInterval)
+            faults.schedule(begin, "wave", [&deployment] { deployment.startWave(); });
+    }
     faults.plan(settings.faultCount, Millis(1000), time);
     run(io, time + Millis(500));
     faults.clearAll();
     bool hasCrashed = deployment.restartNodes();
     Millis waited{0};
-    for (; waited < kFinishTimeout && !checker.areAllJobsFinished(); waited += kCheckInterval)
+    const auto isFinished = [&] { return checker.areAllJobsFinished() && !callers.isAnyActive(); };
+    for (; waited < kFinishTimeout && !isFinished(); waited += kCheckInterval)
         run(io, kCheckInterval);
     run(io, Millis(1500)); // lets stop commands reach the remaining runs
     hasCrashed = deployment.restartNodes() || hasCrashed;
@@ -109,6 +117,8 @@
     app.add_option("--nodes", settings.deployment.nodes, "Number of fleet nodes")
         ->check(CLI::Range(1, 10));
     app.add_option("--workers", settings.deployment.workers, "Workers")->check(CLI::Range(2, 24));
+    app.add_flag("--hosts", settings.deployment.hasHosts,
+                 "Hosts that are moved and maintained in waves under long-running jobs");
     app.add_option("--seed", first, "First seed");
     app.add_option("--seeds", count, "Number of consecutive seeds to run");
     app.add_option("--seed-file", seedFile, "File with seeds of earlier failures; they run first");
