Look up workers of the pool only, and specifications of long-running tasks only

Cause: reading the diff: isSynced(pool) looked up every worker of the first list of hosts in the map, also those of other pools, for each inherited task and tick; each poll looked up the step of every run. Change: the pool is compared first; only long-running runs can have a disruption budget. Result: 216 test cases pass.

--- a/src/scheduling/schedulerhosts.cpp
+++ b/src/scheduling/schedulerhosts.cpp
@@ -54,10 +54,11 @@
     // go on, so the workers of the first list of hosts must be covered, too.
     return m_firstHostList && areListedSynced
         && std::all_of(m_earlierWorkers.begin(), m_earlierWorkers.end(), [&](const auto &entry) {
+               if (entry.second.pool != pool)
+                   return true;
                const auto found = m_workers.find(entry.first);
-               return entry.second.pool != pool
-                   || (found != m_workers.end()
-                       && (found->second.isSynced || found->second.hasTerminated));
+               return found != m_workers.end()
+                   && (found->second.isSynced || found->second.hasTerminated);
            });
 }
 
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -108,7 +108,7 @@
     bool hasServingRuns = false;
     bool hasBudgetedRuns = false;
     for (const WorkerRun &run : worker.runs) {
-        const StepSpec *spec = findSpec(run.task);
+        const StepSpec *spec = run.isLongRunning ? findSpec(run.task) : nullptr;
         const bool isBudgeted = spec && spec->maxDisrupted >= 0;
         hasBudgetedRuns = hasBudgetedRuns || isBudgeted;
         needsAnswerNow = needsAnswerNow
