--- a/include/oleanderhall/core/ids.h
+++ b/include/oleanderhall/core/ids.h
@@ -19,6 +19,8 @@
 using WaveId = StrongId<struct WaveTag>;
 /// Identifies an entry host.
 using EntryId = StrongId<struct EntryTag>;
+/// Identifies a team, a group of callers with keys, a share and caps of its own.
+using TeamId = StrongId<struct TeamTag>;
 
 /// The position of an entry in the change log. It only increases.
 using Sequence = StrongNumber<struct SequenceTag>;
--- a/include/oleanderhall/jobs/fleetconfig.h
+++ b/include/oleanderhall/jobs/fleetconfig.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderhall/jobs/queueconfig.h"
+#include "oleanderhall/teams/teamconfig.h"
 
 #include <optional>
 #include <string_view>
@@ -22,6 +23,7 @@
     ConfigVersion version;
     std::vector<QueueConfig> queues;
     std::vector<PoolConfig> pools;
+    std::vector<TeamConfig> teams; ///< Empty in a deployment that doesn't tell teams apart.
 
     /// Returns the queue of `host` with the longest prefix that `path` starts with, or nullptr.
     const QueueConfig *find(std::string_view host, std::string_view path) const
--- a/include/oleanderhall/jobs/jobprogress.h
+++ b/include/oleanderhall/jobs/jobprogress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oleanderhall/core/ids.h"
 #include "oleanderhall/jobs/jobstate.h"
 #include "oleanderhall/jobs/taskid.h"
 
@@ -29,6 +30,7 @@
 {
     JobId id;
     JobState state = JobState::Queued;
+    TeamId team; ///< As in JobSpec::team, so that one read shows whose job it is.
     std::int64_t acceptedMs = 0; ///< On the table service's monotonic clock.
     /// The job's tasks may have been started. No task of a job that is not released has ever run,
     /// so a new owner need not search the workers for it.
--- a/include/oleanderhall/jobs/jobspec.h
+++ b/include/oleanderhall/jobs/jobspec.h
@@ -15,6 +15,7 @@
 {
     JobId id;
     QueueConfig queue;
+    TeamId team; ///< The team whose key submitted the job; empty on public queues.
     ConfigVersion config; ///< The configuration version at acceptance.
     std::string payload; ///< Passed unchanged to every task.
     std::vector<StepSpec> steps;
--- a/include/oleanderhall/jobs/queueconfig.h
+++ b/include/oleanderhall/jobs/queueconfig.h
@@ -31,6 +31,7 @@
     Millis allowance{0};
     Millis callerTimeout{0}; ///< The time limit of one request of a caller.
     std::optional<AdviceConfig> advice;
+    bool isPublic = true; ///< Callers need no key; otherwise each call carries a team's key.
 };
 
 } // namespace oleanderhall
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -112,6 +112,8 @@
     record["queue"] = encodeQueue(job.queue);
     record["config"] = value(job.config.value);
     record["payload"] = value(job.payload);
+    if (!job.team.empty())
+        record["team"] = value(job.team.name());
     value steps = value::array();
     for (std::size_t index = 0; index < job.steps.size(); ++index)
         steps[index] = encodeStep(job.steps[index]);
@@ -131,6 +133,8 @@
         JobSpec job{.id = id, .queue = decodeQueue(record.at("queue"))};
         job.config = {record.at("config").as_number().to_uint64()};
         job.payload = record.at("payload").as_string();
+        if (record.has_field("team"))
+            job.team = TeamId(record.at("team").as_string());
         for (const value &step : record.at("steps").as_array())
             job.steps.push_back(decodeStep(step));
         job.occurrences = record.at("occurrences").as_integer();
--- a/src/jobs/jobprogress.cpp
+++ b/src/jobs/jobprogress.cpp
@@ -45,6 +45,8 @@
     value record = value::object();
     record["state"] = value(static_cast<int>(progress.state));
     record["accepted"] = value(progress.acceptedMs);
+    if (!progress.team.empty())
+        record["team"] = value(progress.team.name());
     if (progress.isReleased)
         record["released"] = value(true);
     if (tasks.size() > 0)
@@ -62,6 +64,8 @@
         JobProgress progress{.id = id, .state = static_cast<JobState>(state)};
         progress.acceptedMs = record.at("accepted").as_number().to_int64();
         progress.isReleased = record.has_field("released");
+        if (record.has_field("team"))
+            progress.team = TeamId(record.at("team").as_string());
         if (record.has_field("tasks")) {
             for (const value &row : record.at("tasks").as_array())
                 progress.tasks.push_back(decodeTask(row));
--- a/src/node/fleetownerloading.cpp
+++ b/src/node/fleetownerloading.cpp
@@ -149,7 +149,8 @@
     // The spec of an ended job is deleted; its progress row stays until the state has expired.
     for (const auto &[id, record] : m_inheritedProgress) {
         if (isFinal(record.state))
-            m_scheduler.addJob({.id = id, .acceptedMs = record.acceptedMs}, record, true, now);
+            m_scheduler.addJob({.id = id, .team = record.team, .acceptedMs = record.acceptedMs},
+                               record, true, now);
     }
     m_inheritedProgress.clear();
     for (const JobId id : cancelled)
--- a/src/node/jobwriter.cpp
+++ b/src/node/jobwriter.cpp
@@ -44,8 +44,10 @@
         pending = std::make_shared<PendingJob>();
         pending->id = job.id;
         pending->spec = encodeJob(job);
-        pending->progress = encodeProgress(
-            {.id = job.id, .acceptedMs = job.acceptedMs, .isReleased = job.isReleased});
+        pending->progress = encodeProgress({.id = job.id,
+                                            .team = job.team,
+                                            .acceptedMs = job.acceptedMs,
+                                            .isReleased = job.isReleased});
         m_queue.push_back(pending);
     }
     pending->callers.push_back({deadline, std::move(done)});
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -334,6 +334,7 @@
 {
     JobProgress progress{.id = job.spec.id,
                          .state = job.state,
+                         .team = job.spec.team,
                          .acceptedMs = job.spec.acceptedMs,
                          .isReleased = job.isReleased};
     if (isFinal(job.state))
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -29,6 +29,7 @@
 {
     const JobProgress progress{.id = {77},
                                .state = JobState::Running,
+                               .team = TeamId("team"),
                                .acceptedMs = 1234567890123,
                                .isReleased = true,
                                .tasks = {{.occurrence = 1,
@@ -44,6 +45,7 @@
 TEST_CASE("JobSpec_storedAndRead_keepsEveryField", "[jobs]")
 {
     JobSpec job{.id = {9}};
+    job.team = TeamId("team");
     job.queue.name = "q";
     job.queue.pool = PoolId("pool");
     job.queue.priority = 2;
@@ -69,6 +71,7 @@
     const auto read = decodeJob({9}, encodeJob(job));
     REQUIRE(read);
     CHECK(encodeJob(*read) == encodeJob(job));
+    CHECK(read->team == TeamId("team"));
     CHECK(read->steps[0].after == step.after);
     CHECK(read->steps[0].isLongRunning);
     CHECK_FALSE(read->steps[0].needsOneRack);
