Check the keys of teams, and end the right to admit them with an old configuration

A job belongs to its team; GET and DELETE by another team find no such job. Settings: revoke-ms, team-window-s, cancel-ms, peers. Deployments without teams have public queues only and a lease without end.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -29,6 +29,7 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kNotAllowed = 405;
 constexpr int kGone = 410;
@@ -69,6 +70,12 @@
         .status = kOk, .headers = {{"Content-Type", "application/json"}}, .body = std::move(body)};
 }
 
+/// Jobs of public queues, and those stored before the queue asked for keys, belong to no team.
+bool isOfOtherTeam(const JobProgress &progress, TeamId team)
+{
+    return !progress.team.empty() && progress.team != team;
+}
+
 std::string findingsBody(const FindingList &findings)
 {
     web::json::value list = web::json::value::array();
@@ -129,8 +136,13 @@
     const QueueConfig *queue = m_view.config->find(hostName, path);
     if (!queue)
         co_return refuse(kNotFound, "no_such_queue", std::nullopt);
-    JobTarget target{*queue, m_view.config->version, path.substr(queue->prefix.size()),
-                     responseDeadline(request, monotonicNow())};
+    JobTarget target{.queue = *queue,
+                     .config = m_view.config->version,
+                     .jobId = path.substr(queue->prefix.size()),
+                     .deadline = responseDeadline(request, monotonicNow())};
+    const auto key = request[platform::kApiKeyHeader];
+    if (std::optional<Reply> refusal = refuseWithoutKey(target, {key.data(), key.size()}))
+        co_return std::move(*refusal);
     const auto method = request.method();
     if (target.jobId.empty()) {
         if (method == boost::beast::http::verb::get)
@@ -145,12 +157,30 @@
         co_return co_await submit(std::move(target), *id, std::move(body));
     }
     if (method == boost::beast::http::verb::get)
-        co_return co_await jobState(*id);
+        co_return co_await jobState(target, *id);
     if (method == boost::beast::http::verb::delete_)
-        co_return co_await cancel(*id);
+        co_return co_await cancel(target, *id);
     co_return refuse(kNotAllowed, "method_not_allowed", std::nullopt);
 }
 
+std::optional<Reply> CallerApi::refuseWithoutKey(JobTarget &target, std::string_view key)
+{
+    if (target.queue.isPublic)
+        return std::nullopt;
+    if (!m_view.accessLease.isValid(monotonicNow()))
+        return refuse(kUnavailable, "configuration_stale", kRetryAfter);
+    const std::optional<TeamId> team = m_view.teams.find(key);
+    if (!team)
+        return refuse(kUnauthorized, key.empty() ? "key_missing" : "key_unknown", std::nullopt);
+    target.team = *team;
+    return std::nullopt;
+}
+
+bool CallerApi::mayTakeEffect(const JobTarget &target) const
+{
+    return target.queue.isPublic || m_view.accessLease.isValid(monotonicNow());
+}
+
 Reply CallerApi::waitingCount(const JobTarget &target)
 {
     if (monotonicNow() - m_view.report.receivedAt > kMaxReportAge)
@@ -183,7 +213,7 @@
 
 asio::awaitable<Reply> CallerApi::submit(JobTarget target, JobId id, std::string body)
 {
-    JobSpec job{.id = id, .queue = target.queue, .config = target.config};
+    JobSpec job{.id = id, .queue = target.queue, .team = target.team, .config = target.config};
     FindingList findings;
     platform::decodeJob(body, job, findings);
     if (!findings.empty()) {
@@ -214,6 +244,7 @@
         logInfo("job_stored",
                 {{"job", textOf(id)},
                  {"queue", target.queue.name},
+                 {"team", target.team.name()},
                  {"config", std::to_string(target.config.value)},
                  {"version", std::to_string(stored->version)},
                  {"new", isNew ? "true" : "false"}});
@@ -231,11 +262,13 @@
     co_return refuse(kUnavailable, "table_refused", std::max(kRetryAfter, expected));
 }
 
-asio::awaitable<Reply> CallerApi::jobState(JobId id)
+asio::awaitable<Reply> CallerApi::jobState(const JobTarget &target, JobId id)
 {
     const ReadResult result = co_await readJob(id);
     if (!result.isSuccess)
         co_return refuse(kUnavailable, "table_unreachable", kRetryAfter);
+    if (!mayTakeEffect(target))
+        co_return refuse(kUnavailable, "configuration_stale", kRetryAfter);
     std::optional<JobProgress> progress;
     bool isCancelled = false;
     for (const platform::TableRow &row : result.rows) {
@@ -244,7 +277,8 @@
             progress = decodeProgress(id, row.value);
         isCancelled = isCancelled || (key && key->row == JobRow::Cancel);
     }
-    if (!progress && result.rows.empty())
+    // The job of another team is answered like an unknown one.
+    if (result.rows.empty() || (progress && isOfOtherTeam(*progress, target.team)))
         co_return refuse(kGone, "no_such_job", std::nullopt);
     if (!progress) {
         logWarning("job_progress_unreadable", {{"job", textOf(id)}});
@@ -255,12 +289,22 @@
         platform::encodeJobState(isShownCancelled ? JobState::Cancelled : progress->state));
 }
 
-asio::awaitable<Reply> CallerApi::cancel(JobId id)
+asio::awaitable<Reply> CallerApi::cancel(const JobTarget &target, JobId id)
 {
     const ReadResult result = co_await readJob(id);
     if (!result.isSuccess)
         co_return refuse(kUnavailable, "table_unreachable", kRetryAfter);
-    if (result.rows.empty())
+    if (!mayTakeEffect(target))
+        co_return refuse(kUnavailable, "configuration_stale", kRetryAfter);
+    const bool isOtherTeams = std::any_of(
+        result.rows.begin(), result.rows.end(), [&](const platform::TableRow &row) {
+            const auto key = parseJobKey(row.key);
+            const auto progress = key && key->row == JobRow::Progress
+                ? decodeProgress(id, row.value)
+                : std::nullopt;
+            return progress && isOfOtherTeam(*progress, target.team);
+        });
+    if (result.rows.empty() || isOtherTeams)
         co_return refuse(kGone, "no_such_job", std::nullopt);
     Transaction transaction{.partition = jobPartitionName(jobPartition(id))};
     for (const char *table : {kJobTable, kProgressTable})
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -32,14 +32,20 @@
     struct JobTarget
     {
         QueueConfig queue;
+        TeamId team; ///< The caller's team; empty if the queue is public.
         ConfigVersion config;
         std::string jobId; ///< The path behind the queue's prefix; empty for the queue itself.
         Instant deadline; ///< Of the response; usually before the caller's time limit.
     };
 
     boost::asio::awaitable<Reply> submit(JobTarget target, JobId id, std::string body);
-    boost::asio::awaitable<Reply> jobState(JobId id);
-    boost::asio::awaitable<Reply> cancel(JobId id);
+    boost::asio::awaitable<Reply> jobState(const JobTarget &target, JobId id);
+    boost::asio::awaitable<Reply> cancel(const JobTarget &target, JobId id);
+    /// Returns the refusal of a call that may not use the target's queue, or nothing. Sets the
+    /// target's team.
+    std::optional<Reply> refuseWithoutKey(JobTarget &target, std::string_view key);
+    /// Returns whether a call that was admitted for `target` may still take effect.
+    bool mayTakeEffect(const JobTarget &target) const;
     Reply waitingCount(const JobTarget &target);
     boost::asio::awaitable<platform::TransactionResult> transact(platform::Transaction transaction);
     boost::asio::awaitable<platform::ReadResult> readJob(JobId id);
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -78,7 +78,9 @@
         , m_ownership(settings.id.name(), ownershipSettings(), monotonicNow())
         , m_ownershipTimer(m_io)
         , m_shutdownTimer(m_io)
-    {}
+    {
+        m_view.accessLease = AccessLease(settings.keyWithdrawalTimeout);
+    }
 
     int run()
     {
@@ -150,6 +152,8 @@
         m_metrics.gauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
         m_metrics.gauge("is_owner", m_ownership.isOwner() ? 1 : 0);
         m_metrics.gauge("caller_connections", m_callerServer->connectionCount());
+        m_metrics.gauge("configuration_age_ms",
+                        static_cast<double>(m_view.accessLease.age(monotonicNow()).count()));
         co_return Reply{.status = kOk,
                         .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
                         .body = m_metrics.text()};
@@ -207,6 +211,8 @@
         recordContact(update);
         for (const platform::TableRow &row : update.rows)
             applyOperatorRow(m_view, row);
+        if (m_view.config && m_view.unreadableConfigRow == 0)
+            m_view.accessLease.confirm(update.sentAt);
         if (m_owner && !update.rows.empty())
             m_owner->viewChanged();
     }
--- a/src/node/fleetview.h
+++ b/src/node/fleetview.h
@@ -3,6 +3,8 @@
 #include "oleanderhall/core/time.h"
 #include "oleanderhall/jobs/fleetconfig.h"
 #include "oleanderhall/maintenance/wave.h"
+#include "oleanderhall/teams/accesslease.h"
+#include "oleanderhall/teams/teamdirectory.h"
 
 #include <cstdint>
 #include <map>
@@ -23,6 +25,11 @@
     };
 
     std::optional<FleetConfig> config;
+    TeamDirectory teams; ///< Of `config`.
+    AccessLease accessLease; ///< Ends when `config` has not been confirmed for too long.
+    /// The version of the latest row of the configuration that could not be decoded; 0 if a later
+    /// one could. What it changes is not known, so nothing confirms `config` meanwhile.
+    std::uint64_t unreadableConfigRow = 0;
     std::map<std::int64_t, Wave> waves;
     std::map<std::int64_t, Instant> waveSeenAt; ///< When this node first read the wave.
     /// Hosts that need no further command of a wave, as its owners have recorded them, by wave.
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -22,6 +22,10 @@
     double maintenanceS = 2;
     int stopMs = 400;
     int hostPauseMs = 3000;
+    std::string peers;
+    int cancelMs = 3000;
+    int revokeMs = 0;
+    double teamWindowS = 5;
 };
 
 void addOptions(CLI::App &app, RawSettings &raw, NodeSettings &settings)
@@ -45,6 +49,13 @@
     addOption(app, "--maintenance-s", raw.maintenanceS, "How long a host's maintenance takes");
     addOption(app, "--host-pause-ms", raw.hostPauseMs,
               "Pause between commands of two owners to a host");
+    addOption(app, "--peers", raw.peers, "IP:PORT on which other fleet nodes are served");
+    addOption(app, "--cancel-ms", raw.cancelMs,
+              "Longest time from a cancellation until no task of the job starts");
+    addOption(app, "--revoke-ms", raw.revokeMs,
+              "Longest time that a withdrawn key admits calls on any node; 0 for no limit");
+    addOption(app, "--team-window-s", raw.teamWindowS,
+              "Span over which the rate of a team's jobs is judged");
     addOption(app, "--stop-limit-s", raw.stopLimitS,
               "Time from the stop signal until the platform kills the process");
 }
@@ -67,6 +78,8 @@
     settings.healthAddress = parseSocketAddress(raw.health, "--health", findings);
     if (!raw.metrics.empty())
         settings.metricsAddress = parseSocketAddress(raw.metrics, "--metrics", findings);
+    if (!raw.peers.empty())
+        settings.peerAddress = parseSocketAddress(raw.peers, "--peers", findings);
     parseSocketAddress(settings.tableAddress, "--table", findings);
     if (!settings.hostServiceAddress.empty())
         parseSocketAddress(settings.hostServiceAddress, "--hosts", findings);
@@ -77,6 +90,9 @@
                                                {"--move-s", raw.moveS},
                                                {"--maintenance-s", raw.maintenanceS},
                                                {"--host-pause-ms", raw.hostPauseMs},
+                                               {"--cancel-ms", raw.cancelMs},
+                                               {"--revoke-ms", raw.revokeMs},
+                                               {"--team-window-s", raw.teamWindowS},
                                                {"--stop-limit-s", raw.stopLimitS}};
     for (const auto &[flag, value] : times) {
         if (value < 0)
@@ -88,6 +104,9 @@
     settings.maintenanceTime = fromSeconds(raw.maintenanceS);
     settings.hostCommandPause = Millis(raw.hostPauseMs);
     settings.shutdownTimeout = fromSeconds(raw.stopLimitS);
+    settings.cancelTimeout = Millis(raw.cancelMs);
+    settings.keyWithdrawalTimeout = Millis(raw.revokeMs);
+    settings.teamRateWindow = fromSeconds(raw.teamWindowS);
 }
 
 } // namespace
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -30,6 +30,13 @@
     Millis maintenanceTime{2000}; ///< How long a host's maintenance takes.
     Millis hostCommandPause{3000}; ///< Between the commands of two owners to a host.
     Millis shutdownTimeout{6000}; ///< From the stop signal until the platform kills the process.
+    /// How long after the acknowledgement of a job's cancellation its tasks may still start.
+    Millis cancelTimeout{3000};
+    /// How long after its withdrawal a team's key may still admit calls on any node; 0 if nodes
+    /// without access to the table may go on admitting it.
+    Millis keyWithdrawalTimeout{0};
+    Millis teamRateWindow{5000}; ///< The span over which the rate of a team's jobs is judged.
+    SocketAddress peerAddress; ///< Where other fleet nodes reach this one; port 0 if they don't.
 };
 
 /// Internal: reads flags, environment and the settings file that --settings or
--- a/src/node/viewupdate.cpp
+++ b/src/node/viewupdate.cpp
@@ -15,13 +15,21 @@
 
 namespace {
 
-void applyConfig(FleetView &view, FleetConfig config)
+void applyConfig(FleetView &view, const std::string &document)
 {
+    FindingList findings;
+    FleetConfig config = platform::decodeConfiguration(document, findings);
     if (view.config && config.version <= view.config->version)
         return;
+    for (const Finding &finding : findings.items())
+        logWarning(
+            "configuration_finding",
+            {{"version", std::to_string(config.version.value)}, {"finding", finding.text()}});
     logInfo("configuration_in_force",
             {{"version", std::to_string(config.version.value)},
-             {"queues", std::to_string(config.queues.size())}});
+             {"queues", std::to_string(config.queues.size())},
+             {"teams", std::to_string(config.teams.size())}});
+    view.teams = TeamDirectory(config.teams);
     view.config = std::move(config);
 }
 
@@ -75,13 +83,16 @@
         return;
     try {
         if (row.key == platform::kConfigKey) {
-            applyConfig(view, platform::decodeConfiguration(row.value));
+            applyConfig(view, row.value);
+            view.unreadableConfigRow = 0;
         } else if (const auto wave = platform::decodeWave(row.key, row.value)) {
             view.waves[wave->number] = *wave;
             view.waveSeenAt.try_emplace(wave->number, monotonicNow());
         }
     } catch (const std::exception &error) {
         logWarning("operator_row_unreadable", {{"key", row.key}, {"reason", error.what()}});
+        if (row.key == platform::kConfigKey)
+            view.unreadableConfigRow = row.version;
     }
 }
 
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -7,6 +7,8 @@
 #include "../../platform/wavemessages.h"
 #include "../../platform/workerclient.h"
 
+#include "oleanderhall/teams/teamdirectory.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -27,11 +29,19 @@
     R"({"version":7,"routes":[{"name":"r","host":"h.example","prefix":"/p/","service":"s",)"
     R"("timeoutMs":3000,"targetDurationMs":600,"priority":1,"maxAttempts":4,"stretch":1.6}],)"
     R"("services":[{"name":"s","rejectsOverload":true,"spare":false}]})";
+const std::string kTeam = R"({"name":"one","weight":2.5,"apiKeys":["key-1","key-2"],)"
+                          R"("maxCount":{"cpu":9000,"memMb":4096,"gpu":0}})";
 const std::string
     kWorkerStatus = R"({"clockMs":482113,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00bb",41,120]],)"
                     R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
 const std::string kWave = R"({"wave":1,"machines":["m-1","m-2"],"durationS":20.5,"maxCount":3})";
 
+/// Returns a configuration with `teams`, the elements of a JSON array.
+std::string teamConfig(const std::string &teams)
+{
+    return kConfig.substr(0, kConfig.size() - 1) + R"(,"tenants":[)" + teams + "]}";
+}
+
 /// Returns `text` with one random byte replaced, and in half of the cases cut at a random position.
 std::string damaged(std::string text)
 {
@@ -136,13 +146,83 @@
 
 TEST_CASE("Configuration_wholeDocument_findsTheLongestPrefix", "[platform]")
 {
-    FleetConfig config = decodeConfiguration(kConfig);
+    FindingList findings;
+    FleetConfig config = decodeConfiguration(kConfig, findings);
+    CHECK(findings.empty());
     CHECK(config.version.value == 7);
+    CHECK(config.queues[0].isPublic);
+    CHECK(config.teams.empty());
     config.queues.push_back({.name = "longer", .host = "h.example", .prefix = "/p/q/"});
     CHECK(config.find("h.example", "/p/1")->name == "r");
     CHECK(config.find("h.example", "/p/q/1")->name == "longer");
     CHECK(config.find("other", "/p/1") == nullptr);
-    survivesDamage(kConfig, [](const std::string &text) { decodeConfiguration(text); });
+    survivesDamage(kConfig, [](const std::string &text) {
+        FindingList unused;
+        decodeConfiguration(text, unused);
+    });
+}
+
+TEST_CASE("Configuration_withTeams_readsKeysAndCaps", "[platform]")
+{
+    FindingList findings;
+    const FleetConfig config = decodeConfiguration(teamConfig(kTeam), findings);
+    CHECK(findings.empty());
+    REQUIRE(config.teams.size() == 1);
+    CHECK(config.teams[0].weight == 2.5);
+    CHECK(config.teams[0].maxRunning == Resources{9000, 4096, 0});
+    CHECK(TeamDirectory(config.teams).find("key-1") == TeamId("one"));
+    // Queues ask for keys in a deployment with teams unless the operators say otherwise.
+    CHECK_FALSE(config.queues[0].isPublic);
+    survivesDamage(teamConfig(kTeam), [](const std::string &text) {
+        FindingList unused;
+        decodeConfiguration(text, unused);
+    });
+}
+
+TEST_CASE("Configuration_keyOfTwoTeams_admitsToNeither", "[platform]")
+{
+    // Guards against a copied key that gives one team the jobs and the room of another.
+    FindingList findings;
+    const FleetConfig config = decodeConfiguration(
+        teamConfig(kTeam
+                   + std::string(R"(,{"name":"two","weight":1,"apiKeys":["key-1","key-3"]})")),
+        findings);
+    CHECK(findings.items().size() == 1);
+    const TeamDirectory directory(config.teams);
+    CHECK_FALSE(directory.find("key-1"));
+    CHECK(directory.find("key-2") == TeamId("one"));
+    CHECK(directory.find("key-3") == TeamId("two"));
+}
+
+TEST_CASE("Configuration_damagedTeams_admitNobodyAndLeaveTheOthers", "[platform]")
+{
+    // Guards against a mistake of the operators that lets strangers in or lifts a cap.
+    const std::string damaged = GENERATE(as<std::string>(), R"("text")", R"({"apiKeys":["key-9"]})",
+                                         R"({"name":7,"weight":1,"apiKeys":["key-9"]})",
+                                         R"({"name":"one","weight":1,"apiKeys":["key-9"]})",
+                                         R"({"name":"x","weight":1,"apiKeys":"key-9"})",
+                                         R"({"name":"x","weight":1,"apiKeys":[9,"",null]})");
+    FindingList findings;
+    const FleetConfig config = decodeConfiguration(teamConfig(kTeam + ("," + damaged)), findings);
+    CHECK_FALSE(findings.empty());
+    const TeamDirectory directory(config.teams);
+    CHECK(directory.find("key-1") == TeamId("one"));
+    CHECK_FALSE(directory.find("key-9"));
+    CHECK_FALSE(directory.find(""));
+}
+
+TEST_CASE("Configuration_unusableCap_allowsNoStart", "[platform]")
+{
+    FindingList findings;
+    const FleetConfig config = decodeConfiguration(
+        teamConfig(R"({"name":"one","weight":-1,"apiKeys":[],"maxCount":{"cpu":-5,"memMb":"x"}})"),
+        findings);
+    CHECK(findings.items().size() == 3);
+    REQUIRE(config.teams.size() == 1);
+    CHECK(config.teams[0].weight == 0);
+    CHECK(config.teams[0].maxRunning.milliCores == 1);
+    CHECK(config.teams[0].maxRunning.memoryMb == 1);
+    CHECK(config.teams[0].maxRunning.gpus == 0);
 }
 
 TEST_CASE("WorkerClient_workerStatus_readsActiveAndEndedRuns", "[platform]")
