Finish waves in time: count only hosts that are down, and preempt tasks at their end

Extra output named the hosts that were left and why. (1) A host that had been maintained and then moved to another pool counted as down for maintenance: up to 108 counted where 58 were allowed, so the wave stood still in each burst. (2) Hosts with batch tasks of 25 s and more, of which a few run on healthy workers, were never free within the wave. Change: after its maintenance time only a host that is down, not one that moves, takes room of the wave. From three quarters of a wave's duration tasks on its last hosts are stopped, as many hosts at a time as are cordoned; they start elsewhere from their last checkpoint. A stopped task costs its work since then, a late wave what the operators asked for. Ruled out by plays: surplus hosts before spares, an earlier pace, shorter polls.

--- a/include/oleanderhall/maintenance/hostplanner.h
+++ b/include/oleanderhall/maintenance/hostplanner.h
@@ -54,6 +54,8 @@
         std::set<WorkerId> awaitingMaintenance;
         /// Workers whose long-running tasks should be moved to other workers, as budgets allow.
         std::set<WorkerId> evacuated;
+        /// Workers whose other tasks should be stopped, as the wave of their hosts is about to end.
+        std::set<WorkerId> preempted;
         /// Waves that are new or have just been completed: the number, and whether it is completed.
         std::vector<std::pair<std::int64_t, bool>> waveStates;
     };
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -98,6 +98,9 @@
     bool mayEndRuns(WorkerId worker, Instant now) const;
     /// Stops long-running tasks of these workers as far as their steps' disruption budgets allow.
     void evacuate(const std::set<WorkerId> &workers, Instant now);
+    /// Stops the tasks of these workers that aren't long-running; they start elsewhere, from their
+    /// last checkpoint.
+    void preempt(const std::set<WorkerId> &workers, Instant now);
     /// Returns the capacity that the work of each pool requires.
     PoolDemands poolDemands(Instant now);
     /// Sets the workers whose hosts will be maintained soon. Long-running tasks prefer others.
--- a/src/maintenance/hostplanner.cpp
+++ b/src/maintenance/hostplanner.cpp
@@ -10,6 +10,10 @@
 constexpr double kMilliPerCore = 1000;
 /// The share of a wave's duration that is reserved for hosts whose tasks are hard to move or end.
 constexpr double kWaveTimeReserve = 0.35;
+/// After this share of a wave's duration, tasks that still run on its last hosts are stopped and
+/// start elsewhere. The operators ask for the maintenance in time, and some tasks run for longer
+/// than a wave lasts.
+constexpr double kPreemptionShare = 0.75;
 
 } // namespace
 
@@ -165,8 +169,9 @@
             if (found == m_hosts.end())
                 continue; // no longer in the fleet
             const auto until = state.unavailableUntil.find(id);
+            // A host that moves to another pool after its maintenance doesn't count.
             const bool isCommanded = until != state.unavailableUntil.end()
-                && (now < until->second || found->second.info.state != HostInfo::State::Ready);
+                && (now < until->second || found->second.info.state == HostInfo::State::Down);
             // An earlier owner may just have sent a command to this host.
             const auto paused = m_pausedUntil.find(id);
             const bool mayHaveEarlierCommand = paused != m_pausedUntil.end()
@@ -194,8 +199,8 @@
         std::stable_sort(ranked.begin(), ranked.end(),
                          [](const auto &a, const auto &b) { return a.first < b.first; });
         const double elapsed = std::chrono::duration<double>(now - state.firstSeen).count();
-        const double usable = std::chrono::duration<double>(state.wave.duration).count()
-            * (1 - kWaveTimeReserve);
+        const double duration = std::chrono::duration<double>(state.wave.duration).count();
+        const double usable = duration * (1 - kWaveTimeReserve);
         const auto total = static_cast<double>(state.wave.hosts.size());
         const double due = usable <= 0 ? total : total * std::min(1.0, elapsed / usable);
         const bool isBehind = total - static_cast<double>(remaining.size()) < due;
@@ -224,6 +229,8 @@
                        && cordoned < std::max(1, state.wave.maxAtOnce / 4)) {
                 plan.cordoned.insert(host->info.worker);
                 plan.evacuated.insert(host->info.worker);
+                if (elapsed >= duration * kPreemptionShare)
+                    plan.preempted.insert(host->info.worker);
                 ++cordoned;
             }
         }
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -291,6 +291,7 @@
     m_scheduler.cordon(plan.cordoned);
     m_scheduler.setAwaitingMaintenance(plan.awaitingMaintenance);
     m_scheduler.evacuate(plan.evacuated, now);
+    m_scheduler.preempt(plan.preempted, now);
     recordAndSend(plan.commands, now);
     for (const auto &[wave, isCompleted] : plan.waveStates)
         m_unpublishedWaveStates[wave] = isCompleted;
--- a/src/scheduling/schedulerbudget.cpp
+++ b/src/scheduling/schedulerbudget.cpp
@@ -73,6 +73,21 @@
     }
 }
 
+void Scheduler::preempt(const std::set<WorkerId> &workers, Instant now)
+{
+    for (const WorkerId id : workers) {
+        const auto found = m_workers.find(id);
+        if (found == m_workers.end())
+            continue;
+        for (WorkerRun &run : found->second.runs) {
+            if (run.isLongRunning || run.phase != WorkerRun::Phase::Running)
+                continue;
+            logDecision({"run_preempted", {{"task", textOf(run.task)}, {"worker", id.name()}}});
+            requestStop(run, now);
+        }
+    }
+}
+
 bool Scheduler::mayInterrupt(WorkerId id, Instant now) const
 {
     const auto found = m_workers.find(id);
--- a/tests/maintenance/hostplanner_test.cpp
+++ b/tests/maintenance/hostplanner_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace oleanderhall;
 
 namespace {
@@ -66,6 +68,12 @@
         return count;
     }
 
+    static std::ptrdiff_t maintenances(const HostPlanner::Plan &plan)
+    {
+        return std::count_if(plan.commands.begin(), plan.commands.end(),
+                             [](const HostCommand &command) { return !command.isMove(); });
+    }
+
     Instant now{std::chrono::hours(1)};
     std::vector<HostInfo> hosts;
     std::map<WorkerId, WorkerUsage> usages;
@@ -156,6 +164,39 @@
     CHECK(plan(20, 20).commands.empty());
 }
 
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_maintainedHostMoves_leavesTheWaveItsRoom", "[hosts]")
+{
+    // Guards against waves that stand still in a burst of demand: hosts that had been maintained
+    // and then moved to another pool counted as down for maintenance.
+    planner.addWave(wave({"b0", "c0"}, 1), now);
+    const HostPlanner::Plan first = plan(20, 20);
+    REQUIRE(first.commands.size() == 1);
+    answer(first);
+    now += HostPlannerSettings{}.maintenanceTime;
+    for (HostInfo &host : hosts) {
+        if (host.id == first.commands[0].host)
+            host.state = HostInfo::State::Moving;
+    }
+    planner.updateHosts(hosts, now);
+    CHECK(maintenances(plan(20, 20)) == 1);
+}
+
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_hostDownAfterItsMaintenance_takesRoomOfTheWave",
+                 "[hosts]")
+{
+    // Guards against more hosts down than the wave allows when one doesn't return.
+    planner.addWave(wave({"b0", "c0"}, 1), now);
+    const HostPlanner::Plan first = plan(20, 20);
+    answer(first);
+    now += HostPlannerSettings{}.maintenanceTime;
+    for (HostInfo &host : hosts) {
+        if (host.id == first.commands[0].host)
+            host.state = HostInfo::State::Down;
+    }
+    planner.updateHosts(hosts, now);
+    CHECK(maintenances(plan(20, 20)) == 0);
+}
+
 TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_workerNotRead_isNotTakenForIdle", "[hosts]")
 {
     // Guards against a violation of the availability budget: a new owner treated hosts as empty
@@ -219,6 +260,21 @@
     CHECK(plan(20, 20).evacuated.contains(WorkerId("w-b0")));
 }
 
+TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_waveAboutToEnd_preemptsTasksOnItsLastHosts",
+                 "[hosts]")
+{
+    // Guards against late waves: a host with a task that runs for longer than the wave was left.
+    planner.addWave(wave({"b0", "b1"}, 1), now);
+    for (const char *worker : {"w-b0", "w-b1"})
+        usages[WorkerId(worker)] = {
+            .isKnown = true, .isEmpty = false, .mayInterrupt = false, .batchCores = 2};
+    now += Millis(14000); // of 20 s
+    CHECK(plan(20, 20).cordoned.size() == 1);
+    CHECK(plan(20, 20).preempted.empty());
+    now += Millis(1000);
+    CHECK(plan(20, 20).preempted.size() == 1); // no more than the wave may take at once
+}
+
 TEST_CASE_METHOD(HostPlannerTest, "HostPlanner_twoWaves_interruptOneHostInAPlan", "[hosts]")
 {
     // Guards against plans that exceed a disruption budget: each host alone may be interrupted, but
--- a/tests/scheduling/schedulerbudget_test.cpp
+++ b/tests/scheduling/schedulerbudget_test.cpp
@@ -172,3 +172,35 @@
     answerPoll({.worker = w2}, {}, {}, CallResult::Unknown);
     CHECK_FALSE(scheduler.mayEndRuns(w1, now));
 }
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_preemptedWorker_stopsBatchTasksOnly", "[scheduler]")
+{
+    // Guards against a preemption that ends long-running tasks without regard to their budget, or
+    // that starts a task elsewhere before its run has ended.
+    syncAllWorkers();
+    const std::vector<StartCommand> serving = startOnBothWorkers();
+    submit(makeJob(2, "pool", {makeStep(1, Millis(5000))}));
+    advance(Millis(10)); // until the steps are ranked again
+    const std::vector<StartCommand> batch = tick<StartCommand>();
+    REQUIRE(batch.size() == 1);
+    confirm(batch);
+    const WorkerId worker = batch[0].worker;
+    scheduler.cordon({worker});
+    scheduler.preempt({worker}, now);
+    const std::vector<StopCommand> stops = tick<StopCommand>();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].task == batch[0].task);
+    CHECK(tick<StartCommand>().empty());
+    const StartCommand &neighbour = serving[serving[0].worker == worker ? 0 : 1];
+    answerPoll({.worker = worker}, {readyRun(neighbour)},
+               {{.sequence = 1,
+                 .task = batch[0].task,
+                 .run = batch[0].run,
+                 .runOutcome = RunOutcome::Stopped,
+                 .checkpoint = "saved"}});
+    advance(Millis(10));
+    const std::vector<StartCommand> again = tick<StartCommand>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].worker != worker);
+    CHECK(again[0].checkpoint == "saved");
+}
