Keep what a team has running within its cap

Cause: nothing compared a team's running work with its maxCount. Observed: 2,054,800 MB running against a cap of 1,822,278.

Change: TeamUsage holds the caps and what each team has running; the Scheduler counts the runs on all workers before each tick and admits no single task, gang or repeated start above the cap. It counts the full need of runs that are starting, running or being stopped, on idle cores, and on workers that don't answer until their leases have passed. After a take-over it adds what an earlier owner may have started on unread workers, up to their capacity; the last record of an ended job says what its runs may still use, because its spec is deleted. A lowered cap applies at once, a raised one after 1 s. Until the configuration is known, no task of a team starts. A task above the cap by itself runs alone; a gang above the cap waits.

--- a/include/oleanderhall/jobs/jobprogress.h
+++ b/include/oleanderhall/jobs/jobprogress.h
@@ -2,6 +2,7 @@
 
 #include "oleanderhall/core/ids.h"
 #include "oleanderhall/jobs/jobstate.h"
+#include "oleanderhall/jobs/resources.h"
 #include "oleanderhall/jobs/taskid.h"
 
 #include <cstdint>
@@ -35,6 +36,9 @@
     /// The job's tasks may have been started. No task of a job that is not released has ever run,
     /// so a new owner need not search the workers for it.
     bool isReleased = false;
+    /// What tasks of an ended job may still have used when this was recorded. A new owner counts it
+    /// against the team's cap until it has read all workers.
+    Resources stillRunning;
     std::vector<TaskProgress> tasks;
 
     friend bool operator==(const JobProgress &, const JobProgress &) = default;
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -17,6 +17,8 @@
 #include "oleanderhall/scheduling/trackedjob.h"
 #include "oleanderhall/scheduling/workerstate.h"
 #include "oleanderhall/scheduling/workerstatus.h"
+#include "oleanderhall/teams/teamconfig.h"
+#include "oleanderhall/teams/teamusage.h"
 
 #include <cstdint>
 #include <map>
@@ -41,6 +43,9 @@
     /// Sets the configuration of the queues unless a later version is known. Jobs of a removed
     /// queue keep the configuration they were accepted with.
     void setQueues(ConfigVersion version, const std::vector<QueueConfig> &queues);
+    /// Sets the configuration of the teams unless a later version is known. Until the first call,
+    /// no task of a team's job starts.
+    void setTeams(ConfigVersion version, const std::vector<TeamConfig> &teams, Instant now);
     /// Sets the complete list of workers from service discovery.
     void setWorkers(const std::vector<WorkerInfo> &workers, Instant now);
     /// Adds a stored job that was accepted at `accepted`, with its recorded progress. An inherited
@@ -183,6 +188,14 @@
     void writeProgress(Instant now, std::vector<SchedulerAction> &out);
     void expireOldJobs(Instant now);
 
+    // Teams.
+    void countTeamUsage(Instant now);
+    std::map<TeamId, Resources> possiblyRunning() const;
+    std::optional<Resources> unreadCapacity(PoolId pool) const;
+    bool isWithinCap(const TrackedJob &job, const StepSpec &spec, int count, Instant now) const;
+    bool mayRepeatStart(const WorkerRun &run, Instant now);
+    Resources heldBy(const TrackedJob &job) const;
+
     // Placement.
     void place(Instant now, std::vector<SchedulerAction> &out);
     void placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
@@ -235,6 +248,11 @@
     std::map<WorkerId, EarlierWorker> m_earlierWorkers;
     std::set<WorkerId> m_awaitingMaintenance;
     std::map<PoolId, ArrivalRate> m_arrivals; ///< Of work, in core-seconds per second.
+    TeamUsage m_teamUsage;
+    bool m_hasTeamJobs = false; ///< A job of a team has been added.
+    /// Jobs of teams that an earlier owner may have started; empty once its runs can't go on.
+    std::vector<JobId> m_possiblyStarted;
+    Instant m_nextPossibleCount;
     TicketCache m_tickets;
     std::set<JobId> m_dirty; ///< Jobs with progress to be recorded.
     JobId m_firstDirty; ///< The next write begins with this job, so that none waits forever.
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -4,6 +4,7 @@
 #include "oleanderhall/jobs/jobprogress.h"
 #include "oleanderhall/jobs/jobspec.h"
 #include "oleanderhall/jobs/jobstate.h"
+#include "oleanderhall/jobs/resources.h"
 #include "oleanderhall/scheduling/workerinfo.h"
 
 #include <algorithm>
@@ -70,6 +71,7 @@
     Instant ended;
     std::vector<Occurrence> occurrences;
     std::vector<TaskProgress> inheritedProgress; ///< As recorded by earlier owners.
+    Resources inheritedRunning; ///< JobProgress::stillRunning as recorded by an earlier owner.
     bool isDirty = false; ///< Its progress must be recorded without delay.
     bool isLazilyDirty = false; ///< Its progress may wait up to SchedulerSettings::maxRecordDelay.
     Instant lazilyDirtySince;
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -3,7 +3,9 @@
 #include "oleanderhall/scheduling/leaseclock.h"
 #include "oleanderhall/scheduling/workerinfo.h"
 
+#include "oleanderhall/core/ids.h"
 #include "oleanderhall/core/time.h"
+#include "oleanderhall/jobs/resources.h"
 #include "oleanderhall/jobs/taskid.h"
 
 #include <cstdint>
@@ -25,6 +27,8 @@
     std::int64_t run = 0;
     Phase phase = Phase::Starting;
     Resources reservation; ///< Subtracted from the worker's free capacity.
+    TeamId team; ///< Of the job; empty if the job has none or isn't known.
+    Resources need; ///< Counted against the team's cap, also what is not reserved.
     bool usesIdleCores = false; ///< Reserves no cores.
     bool isLongRunning = false;
     Millis latencyTarget{0};
--- a/src/jobs/jobprogress.cpp
+++ b/src/jobs/jobprogress.cpp
@@ -49,6 +49,10 @@
         record["team"] = value(progress.team.name());
     if (progress.isReleased)
         record["released"] = value(true);
+    if (progress.stillRunning != Resources())
+        record["running"] = value::array({value(progress.stillRunning.milliCores),
+                                          value(progress.stillRunning.memoryMb),
+                                          value(progress.stillRunning.gpus)});
     if (tasks.size() > 0)
         record["tasks"] = tasks;
     return record.serialize();
@@ -66,6 +70,12 @@
         progress.isReleased = record.has_field("released");
         if (record.has_field("team"))
             progress.team = TeamId(record.at("team").as_string());
+        if (record.has_field("running")) {
+            const value &running = record.at("running");
+            progress.stillRunning = {.milliCores = running.at(0).as_number().to_int64(),
+                                     .memoryMb = running.at(1).as_number().to_int64(),
+                                     .gpus = running.at(2).as_number().to_int64()};
+        }
         if (record.has_field("tasks")) {
             for (const value &row : record.at("tasks").as_array())
                 progress.tasks.push_back(decodeTask(row));
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -89,8 +89,10 @@
 
 void FleetOwner::viewChanged()
 {
-    if (m_view.config)
+    if (m_view.config) {
         m_scheduler.setQueues(m_view.config->version, m_view.config->queues);
+        m_scheduler.setTeams(m_view.config->version, m_view.config->teams, monotonicNow());
+    }
     scheduleStep();
 }
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -63,6 +63,7 @@
             && (entry.second.hasTerminated || !entry.second.isSynced);
     });
     groupWorkersByPool();
+    m_nextPossibleCount = {};
     m_needsPlacement = true;
 }
 
@@ -85,6 +86,14 @@
     const auto queue = m_queues.find(job.spec.queue.name);
     if (queue != m_queues.end() && job.spec.config <= m_version)
         job.spec.queue = queue->second;
+    m_hasTeamJobs = m_hasTeamJobs || !job.spec.team.empty();
+    job.inheritedRunning = progress.stillRunning;
+    const bool mayStillRun = isFinal(job.state) ? progress.stillRunning != Resources()
+                                                : job.isInherited && job.isReleased;
+    if (mayStillRun && !job.spec.team.empty()) {
+        m_possiblyStarted.push_back(id);
+        m_nextPossibleCount = {};
+    }
     if (isFinal(job.state)) {
         job.ended = accepted;
         return;
@@ -337,8 +346,11 @@
                          .team = job.spec.team,
                          .acceptedMs = job.spec.acceptedMs,
                          .isReleased = job.isReleased};
-    if (isFinal(job.state))
+    if (isFinal(job.state)) {
+        if (!job.spec.team.empty())
+            progress.stillRunning = heldBy(job);
         return progress;
+    }
     for (const Occurrence &occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto &tasks = occurrence.steps[step].tasks;
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -29,6 +29,8 @@
     task->isPlaced = false;
     task->worker = {};
     task->waitingSince = now;
+    if (task->mayRunOnUnsyncedWorker)
+        m_nextPossibleCount = {}; // an earlier owner may have started it again
     --findStep(run.task)->placedTasks;
     m_needsPlacement = true;
 }
--- a/src/scheduling/schedulerhosts.cpp
+++ b/src/scheduling/schedulerhosts.cpp
@@ -37,6 +37,7 @@
     }
     std::erase_if(m_earlierWorkers,
                   [&](const auto &entry) { return isReplaced(entry.first, entry.second.host); });
+    m_nextPossibleCount = {};
     m_needsPlacement = true;
 }
 
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -217,6 +217,8 @@
             continue;
         pool.ranked[kept++] = candidate;
         TrackedJob &job = m_jobs.at(candidate.job);
+        if (!isWithinCap(job, job.spec.steps[static_cast<std::size_t>(candidate.step)], 1, now))
+            continue;
         if (!job.isReleaseRecorded) {
             // Releases the next jobs before there is capacity for them, because they can't start
             // until the release is durable.
@@ -313,6 +315,9 @@
     TrackedStep &trackedStep = occurrence.steps[static_cast<std::size_t>(step)];
     if (trackedStep.placedTasks > 0)
         return; // all tasks of a gang start together, after every earlier run has ended
+    if (!isWithinCap(job, job.spec.steps[static_cast<std::size_t>(step)],
+                     static_cast<int>(trackedStep.tasks.size()), now))
+        return;
     std::int64_t next = trackedStep.lastGangRun;
     std::string checkpoint;
     for (const TrackedTask &task : trackedStep.tasks) {
@@ -336,6 +341,7 @@
                 const WorkerRun ended = *placed;
                 removeRun(holder, static_cast<std::size_t>(placed - holder.runs.data()));
                 unplace(ended, now);
+                m_teamUsage.removeRunning(ended.team, ended.need);
                 m_startWindow.onWithdrawn();
             }
             m_needsPlacement = false;
@@ -351,6 +357,8 @@
                                      const TrackedTask &task, Instant now)
 {
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
+    if (!isWithinCap(job, spec, 1, now))
+        return nullptr;
     Resources need = spec.need;
     if (spec.usesIdleCores)
         need.milliCores = 0;
@@ -415,6 +423,9 @@
     run.reservation = spec.need;
     if (spec.usesIdleCores)
         run.reservation.milliCores = 0;
+    run.team = job.spec.team;
+    run.need = spec.need;
+    m_teamUsage.addRunning(run.team, run.need);
     run.usesIdleCores = spec.usesIdleCores;
     run.isLongRunning = spec.isLongRunning;
     run.latencyTarget = spec.latencyTarget;
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -93,6 +93,10 @@
         if (run.usesIdleCores)
             run.reservation.milliCores = 0;
     }
+    if (job != m_jobs.end()) {
+        run.team = job->second.spec.team;
+        run.need = spec ? spec->need : job->second.inheritedRunning;
+    }
     const bool isWanted = task && job != m_jobs.end() && !isFinal(job->second.state)
         && !task->isDone && !task->isPlaced && !task->hasEnded(reported.run);
     if (isWanted) {
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -22,6 +22,7 @@
     openOccurrences(wallClockMs);
     dropExpiredRuns(now);
     if (maySendCommands) {
+        countTeamUsage(now);
         for (auto &[id, worker] : m_workers)
             sendCommands(worker, now, out);
         place(now, out);
@@ -79,6 +80,10 @@
                 requestStop(run, now);
                 continue;
             }
+            if (!mayRepeatStart(run, now)) {
+                run.nextSend = now + m_settings.commandRetryDelay;
+                continue;
+            }
             run.isCommandInFlight = true;
             ++run.startAttempts;
             out.emplace_back(makeStartCommand(worker, job->second, run, now));
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -91,3 +91,12 @@
         decodeJob({1}, text);
     }));
 }
+
+TEST_CASE("JobProgress_endedJobStillUsesResources_isRestored", "[jobs]")
+{
+    const JobProgress progress{.id = {77},
+                               .state = JobState::Cancelled,
+                               .team = TeamId("a"),
+                               .stillRunning = {.milliCores = 3000, .memoryMb = 512, .gpus = 1}};
+    CHECK(decodeProgress({77}, encodeProgress(progress)) == progress);
+}
--- a/tests/scheduling/scheduler_property_test.cpp
+++ b/tests/scheduling/scheduler_property_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <array>
 #include <random>
 
 using namespace oleanderhall;
@@ -16,6 +17,8 @@
 constexpr Millis kResponseTime{2};
 constexpr int kSteps = 2500; // 25 s
 constexpr int kWorkers = 5;
+// Commands are executed at most this long after a cap was lowered.
+constexpr Millis kLongestCommandDelay{6300};
 const char *const kPool = "pool";
 const char *const kOtherPool = "other";
 
@@ -39,9 +42,13 @@
 class Simulation
 {
 public:
-    explicit Simulation(unsigned seed)
+    /// With `hasTeams`, jobs belong to teams whose caps are exceeded by the load and change.
+    explicit Simulation(unsigned seed, bool hasTeams = false)
         : m_random(seed)
+        , m_hasTeams(hasTeams)
     {
+        if (hasTeams)
+            changeCaps();
         for (int index = 0; index < kWorkers; ++index) {
             const std::string id = "w" + std::to_string(index);
             m_workers[WorkerId(id)] = FakeWorker(
@@ -80,12 +87,14 @@
 
     void injectEvents(int step)
     {
-        if (step < kSteps / 2 && chance(0.02))
+        if (step < kSteps / 2 && chance(m_hasTeams ? 0.06 : 0.02))
             submit();
         if (chance(0.003) && !m_store.empty())
             cancelOne();
         if (chance(0.002))
             takeOver();
+        if (m_hasTeams && chance(0.005))
+            changeCaps();
         for (auto &[id, worker] : m_workers) {
             if (chance(worker.isReachable ? 0.0007 : 0.005))
                 worker.isReachable = !worker.isReachable;
@@ -102,14 +111,68 @@
                 after.push_back(index - 1);
             steps.push_back(makeStep(pick(1, 4), Millis(pick(50, 800)), after));
         }
-        Stored stored{.spec = makeJob(++m_lastJob, kPool, std::move(steps))};
+        const char *const pool = m_hasTeams && chance(0.2) ? kOtherPool : kPool;
+        Stored stored{.spec = makeJob(++m_lastJob, pool, std::move(steps))};
+        if (m_hasTeams)
+            stored.spec.team = m_teams[static_cast<std::size_t>(pick(0, 1))].id;
         stored.progress.id = stored.spec.id;
+        stored.progress.team = stored.spec.team;
         stored.progress.isReleased = chance(0.5);
         m_store[stored.spec.id] = stored;
         for (auto &owner : m_owners)
             owner->scheduler->addJob(stored.spec, stored.progress, false, m_now);
     }
 
+    /// Changes the caps of all teams in a new version of the configuration.
+    void changeCaps()
+    {
+        for (std::size_t index = 0; index < m_teams.size(); ++index) {
+            m_teams[index].maxRunning = {.milliCores = 1000 * pick(1, 5),
+                                         .memoryMb = chance(0.5) ? 0 : 100 * pick(1, 5)};
+            m_caps[index].emplace_back(m_now, m_teams[index].maxRunning);
+        }
+        m_version = m_version.next();
+        for (auto &owner : m_owners)
+            owner->scheduler->setTeams(m_version, m_teams, m_now);
+    }
+
+    /// Records a violation if the team of `task` has more running than the highest cap that was in
+    /// force when the start may have been decided, and one task more.
+    void checkCap(const TaskId &task)
+    {
+        const JobSpec &job = m_store.at(task.job).spec;
+        Resources sum;
+        for (const auto &[id, worker] : m_workers) {
+            for (const FakeRun &run : worker.running) {
+                const JobSpec &other = m_store.at(run.task.job).spec;
+                if (other.team == job.team)
+                    sum += other.steps[static_cast<std::size_t>(run.task.step)].need;
+            }
+        }
+        const std::size_t team = job.team == m_teams[0].id ? 0 : 1;
+        const auto &caps = m_caps[team];
+        Resources highest;
+        for (std::size_t index = 0; index < caps.size(); ++index) {
+            const bool isInForce = index + 1 == caps.size()
+                || m_now - caps[index + 1].first < kLongestCommandDelay;
+            if (!isInForce)
+                continue;
+            const Resources &cap = caps[index].second;
+            constexpr std::int64_t kNoLimit = 1'000'000;
+            highest.milliCores = std::max(highest.milliCores, cap.milliCores);
+            highest.memoryMb = std::max(highest.memoryMb,
+                                        cap.memoryMb == 0 ? kNoLimit : cap.memoryMb);
+        }
+        if (!sum.fitsInto(highest))
+            violations.push_back(
+                textOf(task) + ": team " + job.team.name() + " runs "
+                + std::to_string(sum.milliCores) + " millicores and " + std::to_string(sum.memoryMb)
+                + " MB, its highest cap is " + std::to_string(highest.milliCores) + " and "
+                + std::to_string(highest.memoryMb) + ", "
+                + std::to_string(std::chrono::duration_cast<Millis>(m_now - m_lastTakeOver).count())
+                + " ms after the take-over");
+    }
+
     void cancelOne()
     {
         auto chosen = std::next(m_store.begin(), pick(0, static_cast<int>(m_store.size()) - 1));
@@ -144,6 +207,8 @@
                              .state = HostInfo::State::Ready,
                              .worker = id});
         }
+        if (m_hasTeams)
+            owner->scheduler->setTeams(m_version, m_teams, m_now);
         owner->scheduler->setWorkers(infos, m_now);
         owner->scheduler->updateHosts(hosts, m_now, m_now);
         for (const auto &[id, stored] : m_store) {
@@ -163,7 +228,11 @@
         constexpr Millis kPollLease{3000};
         if (!owner.isCurrent && m_now > owner.supersededAt + kPollLease)
             return;
-        const bool maySendCommands = owner.isCurrent || m_now < owner.supersededAt + kCommandLease;
+        // Caps rest on Ownership, which ends the right to send commands before the next take-over:
+        // a new owner can't foresee which jobs accepted later an earlier one would start. Commands
+        // that were sent before may be executed later.
+        const Millis commandLease = m_hasTeams ? Millis(0) : kCommandLease;
+        const bool maySendCommands = owner.isCurrent || m_now < owner.supersededAt + commandLease;
         for (SchedulerAction &action : owner.scheduler->tick(m_now, 0, maySendCommands))
             std::visit([&](auto &concrete) { send(owner, concrete); }, action);
         owner.scheduler->takeDecisions();
@@ -328,7 +397,9 @@
         }
         if (worker.used().milliCores > worker.info.capacity.milliCores)
             violations.push_back(id + ": exceeds the capacity of the worker");
-        if (worker.info.pool != PoolId(kPool))
+        if (m_hasTeams)
+            checkCap(command.task);
+        if (worker.info.pool != stored->second.spec.queue.pool)
             violations.push_back(id + ": started on a worker of another pool");
         if (m_recordedOutcomes[command.task].contains(RunOutcome::Done))
             violations.push_back(id + ": started after its completion was recorded");
@@ -356,6 +427,10 @@
     }
 
     std::mt19937 m_random;
+    bool m_hasTeams = false;
+    std::vector<TeamConfig> m_teams{{.id = TeamId("a")}, {.id = TeamId("b")}};
+    std::array<std::vector<std::pair<Instant, Resources>>, 2> m_caps; ///< Since when, by team.
+    ConfigVersion m_version;
     Instant m_now{std::chrono::hours(1)};
     std::map<WorkerId, FakeWorker> m_workers;
     std::map<JobId, Stored> m_store;
@@ -388,3 +463,19 @@
     CHECK(holds);
     CHECK(starts > 1000);
 }
+
+TEST_CASE("Scheduler_capsChangeAndOwnersOverlap_noStartExceedsACap", "[scheduler][teams]")
+{
+    // Guards against owners that don't count what an earlier owner may have started.
+    int starts = 0;
+    const bool holds = rc::check("no start exceeds a cap", [&] {
+        Simulation simulation(*rc::gen::arbitrary<unsigned>(), true);
+        simulation.simulate();
+        starts += simulation.starts;
+        for (const std::string &violation : simulation.violations)
+            RC_LOG() << violation << "\n";
+        RC_ASSERT(simulation.violations.empty());
+    });
+    CHECK(holds);
+    CHECK(starts > 1000);
+}
--- /dev/null
+++ b/tests/scheduling/schedulerteams_test.cpp
@@ -0,0 +1,177 @@
+// Caps of teams in the Scheduler. The load: a team sends more than its cap, and the owner or the
+// configuration changes meanwhile.
+#include "../support/schedulerfixture.h"
+
+using namespace oleanderhall;
+using namespace oleanderhall::test;
+
+namespace {
+
+class SchedulerTeamsTest : public SchedulerTest
+{
+protected:
+    SchedulerTeamsTest() { setCap(scheduler, 1, {.milliCores = 3000}); }
+
+    void setCap(Scheduler &target, std::uint64_t version, Resources cap) const
+    {
+        target.setTeams(
+            {version},
+            {{.id = team, .weight = 1, .maxRunning = cap}, {.id = otherTeam, .weight = 1}}, now);
+    }
+
+    static JobSpec jobOf(TeamId owner, std::uint64_t id, StepSpec step)
+    {
+        JobSpec job = makeJob(id, "pool", {std::move(step)});
+        job.team = owner;
+        return job;
+    }
+
+    const TeamId team{"a"};
+    const TeamId otherTeam{"b"};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_stepExceedsItsTeamsCap_runsInWaves",
+                 "[scheduler][teams]")
+{
+    syncAllWorkers();
+    submit(jobOf(team, 1, makeStep(8, Millis(100))));
+    const std::vector<StartCommand> first = tick<StartCommand>();
+    REQUIRE(first.size() == 3);
+    confirm(first);
+    for (const WorkerId id : {w1, w2}) {
+        std::vector<EndedRun> ended;
+        for (const StartCommand &start : first) {
+            if (start.worker == id)
+                ended.push_back({.sequence = static_cast<std::int64_t>(ended.size()) + 1,
+                                 .task = start.task,
+                                 .run = start.run,
+                                 .runOutcome = RunOutcome::Done});
+        }
+        answerPoll({.worker = id}, {}, ended);
+    }
+    CHECK(tick<StartCommand>().size() == 3);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_teamAtItsCapInABurst_otherTeamsStart",
+                 "[scheduler][teams]")
+{
+    // Guards against a backlog of one team that ends the search for steps that may start.
+    syncAllWorkers();
+    for (std::uint64_t id = 1; id <= 100; ++id)
+        submit(jobOf(team, id, makeStep(1, Millis(100))));
+    submit(jobOf(otherTeam, 999, makeStep(1, Millis(2000))));
+    CHECK(tick<StartCommand>().size() == 4);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_gangExceedsItsTeamsCap_startsNoMember",
+                 "[scheduler][teams]")
+{
+    syncAllWorkers();
+    StepSpec step = makeStep(4, Millis(100));
+    step.isGang = true;
+    submit(jobOf(team, 1, step));
+    CHECK(tick<StartCommand>().empty());
+    setCap(scheduler, 2, {.milliCores = 4000});
+    advance(Millis(3000));
+    CHECK(tick<StartCommand>().size() == 4);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_runsOnIdleCores_countInFull", "[scheduler][teams]")
+{
+    syncAllWorkers();
+    StepSpec step = makeStep(8, Millis(100));
+    step.usesIdleCores = true;
+    submit(jobOf(team, 1, step));
+    CHECK(tick<StartCommand>().size() == 3);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_runIsBeingStopped_countsUntilItHasEnded",
+                 "[scheduler][teams]")
+{
+    syncAllWorkers();
+    submit(jobOf(team, 1, makeStep(3, Millis(5000))));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 3);
+    confirm(starts);
+    scheduler.cancel(JobId{1}, now);
+    submit(jobOf(team, 2, makeStep(3, Millis(100))));
+    const std::vector<StopCommand> stops = tick<StopCommand>();
+    REQUIRE(stops.size() == 3);
+    for (const StopCommand &stop : stops)
+        scheduler.onStopResult(stop, CallResult::Ok, now);
+    CHECK(tick<StartCommand>().empty());
+    advance(Millis(10));
+    for (const WorkerId id : {w1, w2})
+        answerPoll({.worker = id});
+    CHECK(tick<StartCommand>().size() == 3);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_capLoweredBeforeARepeatedStart_doesNotRepeatIt",
+                 "[scheduler][teams]")
+{
+    syncAllWorkers();
+    submit(jobOf(team, 1, makeStep(3, Millis(5000))));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 3);
+    scheduler.onStartResult(starts[0], CallResult::Unknown, now);
+    setCap(scheduler, 2, {.milliCores = 2000});
+    advance(Millis(300));
+    CHECK(tick<StartCommand>().empty());
+    setCap(scheduler, 3, {.milliCores = 3000});
+    advance(Millis(1500));
+    CHECK(tick<StartCommand>().size() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_noConfigurationYet_startsNoTaskOfATeam",
+                 "[scheduler][teams]")
+{
+    Scheduler unconfigured(SchedulerSettings{}, 0, now - std::chrono::minutes(1));
+    unconfigured.setWorkers({makeWorker("w1", "pool", 8000)}, now);
+    unconfigured.updateHosts({makeHost("h1", w1)}, now, now);
+    unconfigured.onPollResult({.worker = w1}, CallResult::Ok, {.clock = Millis(1000)}, now, now);
+    const JobSpec job = jobOf(team, 1, makeStep(1, Millis(100)));
+    unconfigured.addJob(job, {.id = job.id, .isReleased = true}, false, now);
+    const auto starts = [&] {
+        int count = 0;
+        for (const SchedulerAction &action : unconfigured.tick(now, 0))
+            count += std::holds_alternative<StartCommand>(action) ? 1 : 0;
+        return count;
+    };
+    CHECK(starts() == 0);
+    setCap(unconfigured, 1, {});
+    CHECK(starts() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_endedJobsRunsGoOnAfterATakeOver_countUntilRead",
+                 "[scheduler][teams]")
+{
+    // The row with the needs of an ended job is deleted while its runs are being stopped.
+    syncAllWorkers();
+    submit(jobOf(team, 1, makeStep(3, Millis(5000))));
+    confirm(tick<StartCommand>());
+    scheduler.cancel(JobId{1}, now);
+    tick<StopCommand>();
+    REQUIRE(writes.size() == 1);
+    const JobProgress ended = writes[0].updates.at(0);
+    CHECK(ended.stillRunning == Resources{.milliCores = 3000, .memoryMb = 300});
+
+    Scheduler successor(SchedulerSettings{}, 1, now);
+    setCap(successor, 1, {.milliCores = 3000});
+    successor.setWorkers({makeWorker("w1", "pool", 8000), makeWorker("w2", "pool", 8000)}, now);
+    successor.updateHosts({makeHost("h1", w1), makeHost("h2", w2)}, now, now);
+    successor.addJob({.id = JobId{1}, .team = team}, ended, true, now);
+    const JobSpec next = jobOf(team, 2, makeStep(1, Millis(100)));
+    successor.addJob(next, {.id = next.id, .isReleased = true}, false, now + Millis(2500));
+    const auto startsAt = [&](Millis time) {
+        int count = 0;
+        for (const SchedulerAction &action : successor.tick(now + time, 0))
+            count += std::holds_alternative<StartCommand>(action) ? 1 : 0;
+        return count;
+    };
+    successor.onPollResult({.worker = w1}, CallResult::Ok, {.clock = Millis(1000)}, now, now);
+    CHECK(startsAt(Millis(2500)) == 0); // w2 doesn't answer
+    CHECK(startsAt(Millis(6900)) == 0);
+    CHECK(startsAt(Millis(7100)) == 1);
+}
