Tell the incarnations of a worker with the same id apart by their start time

Cause: a worker that restarts under its previous id counts ended runs from 1, starts its clock anew and has no runs. The Scheduler ignored its ends as known ones, went on counting the runs of the earlier process and computed leases on a mix of both clocks.

Change: WorkerInfo and WorkerStatus carry the start time ("born"), and starts, stops and polls the one of the process that they are meant for. A later start time, in service discovery or in a status, begins another incarnation: clock, sync and counters of ends are reset, and the runs that a status of the earlier process has listed have ended. Runs whose start may have reached either process wait for the new one's status. Messages with an older start time and answers to commands for the earlier process end nothing. A worker that may have restarted unnoticed gets a poll without an acknowledgement first, because it would discard its own ends. If the new process stays silent, its runs are given up after the longest lease. Without start times nothing changes.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -63,8 +63,9 @@
     /// an earlier owner may have started waits until this owner has read the runs of every worker
     /// of the first list that has not terminated since.
     void updateHosts(const std::vector<HostInfo> &hosts, Instant requested, Instant now);
-    /// Records that a host command has terminated the worker.
-    void onWorkerTerminated(WorkerId worker, Instant now);
+    /// Records that a host command has terminated the worker, as a list of hosts that was requested
+    /// at `requested` shows.
+    void onWorkerTerminated(WorkerId worker, Instant requested, Instant now);
 
     /// The following functions report the results of actions returned by tick().
     void onStartResult(const StartCommand &command, CallResult result, Instant now);
@@ -146,10 +147,11 @@
     };
 
     // Handling of events.
-    WorkerState *updateCommandedWorker(WorkerId id, CallResult result, Instant now);
-    std::pair<WorkerState *, WorkerRun *> updateCommandedRun(WorkerId id, const TaskId &task,
-                                                             std::int64_t number, CallResult result,
-                                                             Instant now);
+    WorkerState *updateCommandedWorker(WorkerId id, WorkerStartTime started, CallResult result,
+                                       Instant now);
+    template <typename Command>
+    std::pair<WorkerState *, WorkerRun *> updateCommandedRun(const Command &command,
+                                                             CallResult result, Instant now);
     void handleStatus(WorkerState &worker, const WorkerStatus &status, Instant sent, Instant now);
     void handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now);
     void handleEndedRun(WorkerState &worker, const EndedRun &ended, Instant now);
@@ -171,6 +173,13 @@
     const StepSpec *findSpec(const TaskId &id) const;
     void logDecision(Decision decision);
 
+    // Workers that restart under their previous id.
+    static bool isForEarlierIncarnation(const WorkerState &worker, WorkerStartTime started);
+    static bool mayHaveRestarted(const WorkerState &worker, Instant now);
+    bool noteIncarnation(WorkerState &worker, WorkerStartTime started, Instant now);
+    void beginIncarnation(WorkerState &worker, WorkerStartTime started, Instant now);
+    bool haveAllLeasesExpired(const WorkerState &worker, Instant now, Millis slack) const;
+
     // The stages of tick().
     void openOccurrences(std::int64_t wallClockMs);
     void openOccurrence(TrackedJob &job, int number);
--- a/include/oleanderhall/scheduling/scheduleraction.h
+++ b/include/oleanderhall/scheduling/scheduleraction.h
@@ -14,6 +14,7 @@
 struct StartCommand
 {
     WorkerId worker;
+    WorkerStartTime started; ///< Of the incarnation that it is meant for.
     TaskId task;
     std::int64_t run = 0;
     std::string payload;
@@ -26,6 +27,7 @@
 struct StopCommand
 {
     WorkerId worker;
+    WorkerStartTime started; ///< Of the incarnation that it is meant for.
     TaskId task;
     std::int64_t run = 0;
 };
@@ -44,6 +46,7 @@
 struct PollRequest
 {
     WorkerId worker;
+    WorkerStartTime started; ///< Of the incarnation that it is meant for.
     std::int64_t acknowledgedEnd = 0; ///< The worker may discard ended runs up to this sequence.
     Millis leaseExpiry{0}; ///< On the worker's clock; 0 leaves the lease unchanged.
     Millis maxWait{0}; ///< Long poll: the worker may delay its answer until a run ends.
--- a/include/oleanderhall/scheduling/schedulersettings.h
+++ b/include/oleanderhall/scheduling/schedulersettings.h
@@ -14,6 +14,8 @@
     /// of owner takes, so that runs survive it. Tasks of an unresponsive worker are started
     /// elsewhere only after this time.
     Millis workerLease{5000};
+    /// The longest lease that a worker grants, whatever a command asks for (platform limit).
+    Millis maxWorkerLease{10000};
     /// How long after a take-over a task is not started again if it may run on a worker that this
     /// owner can't read: the worker's lease plus the time for which an owner extends leases without
     /// access to the table.
--- a/include/oleanderhall/scheduling/workerinfo.h
+++ b/include/oleanderhall/scheduling/workerinfo.h
@@ -8,8 +8,12 @@
 
 namespace oleanderhall {
 
-/// Identifies one incarnation of a host's worker process; a restarted worker has a new id.
+/// Identifies a host's worker process. A restarted worker usually has a new id; one that restarts
+/// under its previous id has a later start time.
 using WorkerId = StrongId<struct WorkerTag>;
+/// When a worker process started, in milliseconds since 1970 on its host's clock. Distinguishes the
+/// incarnations that have the same id; 0 if the platform doesn't report it.
+using WorkerStartTime = StrongNumber<struct WorkerStartTimeTag>;
 
 /// A worker's entry in service discovery.
 struct WorkerInfo
@@ -21,6 +25,7 @@
     bool isDraining = false;
     Resources capacity;
     std::vector<std::string> labels;
+    WorkerStartTime started;
 
     bool hasLabel(const std::string &label) const
     {
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -34,6 +34,7 @@
     bool isCommandInFlight = false;
     int startAttempts = 0;
     bool mayHaveStarted = false; ///< A start command was not answered.
+    bool isReported = false; ///< A status of the worker's present incarnation listed it as active.
     bool isStopConfirmed = false;
     Instant stopConfirmedAt;
     int progressPercent = 0;
@@ -62,12 +63,14 @@
     Instant listedAt; ///< When this owner first saw that entry.
     HostId host; ///< As of the latest list of hosts that contained the worker; empty before.
     bool isSynced = false; ///< This owner has raised its fencing token and read its runs.
-    bool hasTerminated = false; ///< Another incarnation runs at its address, or its host was
+    bool hasTerminated = false; ///< Another worker runs at its address, or its host was
                                 ///< maintained.
     bool isCordoned = false; ///< Maintenance keeps new tasks off it.
     bool isTerminating = false; ///< A host command that ends all its runs is in flight.
     bool isPollInFlight = false;
     int failedPolls = 0; ///< Number of consecutive polls that failed.
+    Instant restartedAt; ///< When this owner learned of its last restart; the epoch if never.
+    Instant lastAnswer; ///< When the latest status arrived.
     Instant statusSent; ///< When the poll was sent that brought the latest status.
     /// Until then a command that this owner can't follow may end runs. A status whose poll was sent
     /// earlier doesn't show whether they go on.
--- a/include/oleanderhall/scheduling/workerstatus.h
+++ b/include/oleanderhall/scheduling/workerstatus.h
@@ -2,6 +2,7 @@
 
 #include "oleanderhall/core/time.h"
 #include "oleanderhall/jobs/taskid.h"
+#include "oleanderhall/scheduling/workerinfo.h"
 
 #include <cstdint>
 #include <string>
@@ -47,6 +48,7 @@
 struct WorkerStatus
 {
     Millis clock{0}; ///< The worker's monotonic clock when it answered.
+    WorkerStartTime started; ///< Of the incarnation that answered.
     std::vector<ActiveRun> running;
     std::vector<EndedRun> ended;
 };
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -214,7 +214,7 @@
     m_planner.updateHosts(hosts, now, requestedAt);
     for (const WorkerEndVerifier::Verdict &verdict : m_endVerifier.verify(hosts, requestedAt)) {
         if (verdict.hasEnded) {
-            m_scheduler.onWorkerTerminated(verdict.worker, now);
+            m_scheduler.onWorkerTerminated(verdict.worker, requestedAt, now);
             continue;
         }
         logInfo("host_order_was_done_before",
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -52,11 +52,15 @@
                           {"address", info.address}}});
         }
         WorkerState &worker = found->second;
+        worker.isListed = true;
+        if (!noteIncarnation(worker, info.started, now))
+            continue;
         if (worker.info.isDraining != info.isDraining) {
             logDecision({"worker_draining", {{"worker", info.id.name()}}});
         }
+        const WorkerStartTime started = worker.info.started; // the entry may lack it
         worker.info = info;
-        worker.isListed = true;
+        worker.info.started = started;
     }
     std::erase_if(m_workers, [](const auto &entry) {
         return !entry.second.isListed && entry.second.runs.empty()
@@ -196,10 +200,10 @@
         found->second.distrustedUntil = std::max(found->second.distrustedUntil, until);
 }
 
-void Scheduler::onWorkerTerminated(WorkerId worker, Instant now)
+void Scheduler::onWorkerTerminated(WorkerId worker, Instant requested, Instant now)
 {
     const auto found = m_workers.find(worker);
-    if (found == m_workers.end())
+    if (found == m_workers.end() || found->second.restartedAt >= requested)
         return;
     found->second.hasTerminated = true;
     dropAllRuns(found->second, "maintenance", now);
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -83,12 +83,13 @@
 
 /// Returns the worker that a command or poll was sent to, or nullptr if it is not known any more.
 /// If `result` shows that it has terminated, drops its runs and returns nullptr.
-WorkerState *Scheduler::updateCommandedWorker(WorkerId id, CallResult result, Instant now)
+WorkerState *Scheduler::updateCommandedWorker(WorkerId id, WorkerStartTime started,
+                                              CallResult result, Instant now)
 {
     const auto found = m_workers.find(id);
     if (found == m_workers.end())
         return nullptr;
-    if (result != CallResult::OtherIncarnation)
+    if (result != CallResult::OtherIncarnation || isForEarlierIncarnation(found->second, started))
         return &found->second;
     found->second.hasTerminated = true;
     dropAllRuns(found->second, "another incarnation answered", now);
@@ -97,12 +98,12 @@
 
 /// Returns the worker and the run that a command was sent to; the run is nullptr if it is not known
 /// any more.
-std::pair<WorkerState *, WorkerRun *> Scheduler::updateCommandedRun(WorkerId id, const TaskId &task,
-                                                                    std::int64_t number,
+template <typename Command>
+std::pair<WorkerState *, WorkerRun *> Scheduler::updateCommandedRun(const Command &command,
                                                                     CallResult result, Instant now)
 {
-    WorkerState *worker = updateCommandedWorker(id, result, now);
-    WorkerRun *run = worker ? findRun(*worker, task, number) : nullptr;
+    WorkerState *worker = updateCommandedWorker(command.worker, command.started, result, now);
+    WorkerRun *run = worker ? findRun(*worker, command.task, command.run) : nullptr;
     if (run)
         run->isCommandInFlight = false;
     return {worker, run};
@@ -113,8 +114,7 @@
     if (!m_startWindow.isOpen())
         m_needsPlacement = true;
     m_startWindow.onCompleted(result != CallResult::Unknown && result != CallResult::NotSent);
-    const auto [answering, run] = updateCommandedRun(command.worker, command.task, command.run,
-                                                     result, now);
+    const auto [answering, run] = updateCommandedRun(command, result, now);
     if (!run)
         return;
     WorkerState &worker = *answering;
@@ -127,7 +127,8 @@
     }
     switch (result) {
     case CallResult::Ok:
-        worker.clock.recordConfirmed(command.leaseExpiry);
+        if (!isForEarlierIncarnation(worker, command.started))
+            worker.clock.recordConfirmed(command.leaseExpiry);
         if (run->phase == WorkerRun::Phase::Starting) {
             run->phase = WorkerRun::Phase::Running;
             run->runningSince = now;
@@ -177,12 +178,11 @@
 
 void Scheduler::onStopResult(const StopCommand &command, CallResult result, Instant now)
 {
-    const auto [answering, run] = updateCommandedRun(command.worker, command.task, command.run,
-                                                     result, now);
+    const auto [answering, run] = updateCommandedRun(command, result, now);
     if (!run)
         return;
     WorkerState &worker = *answering;
-    if (result == CallResult::Ok) {
+    if (result == CallResult::Ok && !isForEarlierIncarnation(worker, command.started)) {
         run->isStopConfirmed = true;
         run->stopConfirmedAt = now;
         worker.nextPoll = std::min(worker.nextPoll, now + m_settings.pollSpacing);
@@ -206,13 +206,20 @@
 void Scheduler::onPollResult(const PollRequest &request, CallResult result,
                              const WorkerStatus &status, Instant sent, Instant now)
 {
-    WorkerState *answering = updateCommandedWorker(request.worker, result, now);
+    WorkerState *answering = updateCommandedWorker(request.worker, request.started, result, now);
     if (!answering)
         return;
     WorkerState &worker = *answering;
     worker.isPollInFlight = false;
     if (worker.hasTerminated)
         return; // a late answer
+    const bool isForEarlier = isForEarlierIncarnation(worker, request.started);
+    if (isForEarlier && (result != CallResult::Ok || status.started != worker.info.started)) {
+        worker.nextPoll = now;
+        return;
+    }
+    if (result == CallResult::Ok && !noteIncarnation(worker, status.started, now))
+        result = CallResult::OtherIncarnation; // counts as a failed poll
     if (result != CallResult::Ok) {
         ++worker.failedPolls;
         constexpr int kMaxBackoffFactor = 4;
@@ -229,8 +236,11 @@
     if (worker.failedPolls > 0)
         m_needsPlacement = true;
     worker.failedPolls = 0;
-    worker.lastAcknowledgedEnd = std::max(worker.lastAcknowledgedEnd, request.acknowledgedEnd);
-    worker.clock.recordConfirmed(request.leaseExpiry);
+    worker.lastAnswer = now;
+    if (!isForEarlierIncarnation(worker, request.started)) {
+        worker.lastAcknowledgedEnd = std::max(worker.lastAcknowledgedEnd, request.acknowledgedEnd);
+        worker.clock.recordConfirmed(request.leaseExpiry);
+    }
     handleStatus(worker, status, sent, now);
 }
 
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -448,6 +448,7 @@
                                          const WorkerRun &run, Instant now)
 {
     StartCommand command{.worker = worker.info.id,
+                         .started = worker.info.started,
                          .task = run.task,
                          .run = run.run,
                          .payload = job.spec.payload,
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -27,7 +27,9 @@
     if (!worker.isSynced) {
         worker.isSynced = true;
         // An earlier owner may have extended leases until now.
-        worker.clock.recordGranted(status.clock + m_settings.workerLease);
+        worker.clock.recordGranted(status.clock
+                                   + (worker.restartedAt == Instant{} ? m_settings.workerLease
+                                                                      : m_settings.maxWorkerLease));
         // A run that the earlier owner has stopped is listed until the stop is complete.
         distrustRuns(worker.info.id, now + m_settings.stopTimeout);
         m_needsPlacement = true;
@@ -68,6 +70,7 @@
             known->runningSince = now;
             known->lastProgress = now;
         }
+        known->isReported = true;
         if (reported.progressPercent != known->progressPercent)
             known->lastProgress = now;
         known->progressPercent = reported.progressPercent;
@@ -80,6 +83,7 @@
     TrackedTask *task = findTask(reported.task);
     WorkerRun run{.task = reported.task, .run = reported.run};
     run.phase = WorkerRun::Phase::Running;
+    run.isReported = true;
     run.runningSince = now;
     run.lastProgress = now;
     run.progressPercent = reported.progressPercent;
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -47,7 +47,7 @@
     for (auto &[id, worker] : m_workers) {
         if (worker.runs.empty() || worker.failedPolls == 0)
             continue;
-        if (worker.clock.allLeasesExpired(now, m_settings.stopTimeout + kLeaseExpirySlack))
+        if (haveAllLeasesExpired(worker, now, m_settings.stopTimeout + kLeaseExpirySlack))
             dropAllRuns(worker, "lease expired on an unresponsive worker", now);
     }
     const std::size_t removed = std::erase_if(m_workers, [](const auto &entry) {
@@ -72,8 +72,12 @@
             continue;
         if (run.phase == WorkerRun::Phase::Stopping && !run.isStopConfirmed) {
             run.isCommandInFlight = true;
-            out.emplace_back(StopCommand{worker.info.id, run.task, run.run});
-        } else if (run.phase == WorkerRun::Phase::Starting && run.startAttempts > 0) {
+            out.emplace_back(StopCommand{.worker = worker.info.id,
+                                         .started = worker.info.started,
+                                         .task = run.task,
+                                         .run = run.run});
+        } else if (run.phase == WorkerRun::Phase::Starting && run.startAttempts > 0
+                   && worker.isSynced) {
             const auto job = m_jobs.find(run.task.job);
             if (job == m_jobs.end() || isFinal(job->second.state)) {
                 requestStop(run, now);
@@ -102,7 +106,9 @@
     const bool isLeaseShort = left < m_settings.workerLease / 2;
     if (hasUnrecorded && !(isLeaseShort && !worker.runs.empty()))
         return;
-    PollRequest request{.worker = worker.info.id, .acknowledgedEnd = worker.lastRecordedEnd};
+    PollRequest request{.worker = worker.info.id, .started = worker.info.started};
+    if (!mayHaveRestarted(worker, now))
+        request.acknowledgedEnd = worker.lastRecordedEnd;
     bool needsAnswerNow = !worker.isSynced || worker.failedPolls > 0 || hasUnrecorded;
     bool hasIdleCoreRuns = false;
     bool hasServingRuns = false;
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -238,6 +238,17 @@
     survivesDamage(kWorkerStatus, [](const std::string &text) { decodeWorkerStatus(text); });
 }
 
+TEST_CASE("WorkerMessages_withStartTime_tellIncarnationsApart", "[platform]")
+{
+    const std::string born = R"({"born":1796383700123,)";
+    CHECK(decodeWorker("i-1", born + kWorkerEntry.substr(1)).started.value == 1796383700123);
+    CHECK(decodeWorkerStatus(born + kWorkerStatus.substr(1)).started.value == 1796383700123);
+    CHECK(decodeWorker("i-1", kWorkerEntry).started == WorkerStartTime{});
+    CHECK(decodeWorkerStatus(kWorkerStatus).started == WorkerStartTime{});
+    CHECK(decodeWorker("i-1", R"({"born":-5,)" + kWorkerEntry.substr(1)).started
+          == WorkerStartTime{});
+}
+
 TEST_CASE("WaveMessages_rowsOfOtherKinds_areNoWaves", "[platform]")
 {
     const auto wave = decodeWave("wave/1", kWave);
--- a/tests/scheduling/scheduler_property_test.cpp
+++ b/tests/scheduling/scheduler_property_test.cpp
@@ -16,6 +16,8 @@
 constexpr Millis kResponseTime{2};
 constexpr int kSteps = 2500; // 25 s
 constexpr int kWorkers = 5;
+/// How long a superseded owner polls workers.
+constexpr Millis kPollLease{3000};
 const char *const kPool = "pool";
 const char *const kOtherPool = "other";
 
@@ -44,8 +46,9 @@
     {
         for (int index = 0; index < kWorkers; ++index) {
             const std::string id = "w" + std::to_string(index);
-            m_workers[WorkerId(id)] = FakeWorker(
-                makeWorker(id, index == 0 ? kOtherPool : kPool, 4000), Millis(index * 1000));
+            WorkerInfo worker = makeWorker(id, index == 0 ? kOtherPool : kPool, 4000);
+            worker.started = {1};
+            m_workers[WorkerId(id)] = FakeWorker(std::move(worker), Millis(index * 1000));
         }
     }
 
@@ -89,9 +92,38 @@
         for (auto &[id, worker] : m_workers) {
             if (chance(worker.isReachable ? 0.0007 : 0.005))
                 worker.isReachable = !worker.isReachable;
+            if (mayRestart() && chance(0.0005))
+                restart(worker);
         }
     }
 
+    /// No process restarts while a superseded owner may still send commands: a new process knows no
+    /// fencing token, and the table's lease prevents such an overlap.
+    bool mayRestart() const
+    {
+        return std::all_of(m_owners.begin(), m_owners.end(), [this](const auto &owner) {
+            return owner->isCurrent || m_now > owner->supersededAt + kPollLease;
+        });
+    }
+
+    void restart(FakeWorker &worker)
+    {
+        worker.restart(m_now);
+        worker.isReachable = true;
+        at(m_now + Millis(pick(0, 1000)), [this] {
+            for (auto &owner : m_owners)
+                owner->scheduler->setWorkers(workerInfos(), m_now);
+        });
+    }
+
+    std::vector<WorkerInfo> workerInfos() const
+    {
+        std::vector<WorkerInfo> infos;
+        for (const auto &[id, worker] : m_workers)
+            infos.push_back(worker.info);
+        return infos;
+    }
+
     void submit()
     {
         std::vector<StepSpec> steps;
@@ -135,16 +167,14 @@
         auto owner = std::make_unique<Owner>();
         owner->token = ++m_token;
         owner->scheduler = std::make_unique<Scheduler>(SchedulerSettings{}, m_token - 1, m_now);
-        std::vector<WorkerInfo> infos;
         std::vector<HostInfo> hosts;
         for (const auto &[id, worker] : m_workers) {
-            infos.push_back(worker.info);
             hosts.push_back({.id = HostId("host of " + id.name()),
                              .pool = worker.info.pool,
                              .state = HostInfo::State::Ready,
                              .worker = id});
         }
-        owner->scheduler->setWorkers(infos, m_now);
+        owner->scheduler->setWorkers(workerInfos(), m_now);
         owner->scheduler->updateHosts(hosts, m_now, m_now);
         for (const auto &[id, stored] : m_store) {
             owner->scheduler->addJob(stored.spec, stored.progress, true, m_now);
@@ -160,7 +190,6 @@
         // A superseded owner stops sending commands within its own lease, and stops polling a
         // little later.
         constexpr Millis kCommandLease{1500};
-        constexpr Millis kPollLease{3000};
         if (!owner.isCurrent && m_now > owner.supersededAt + kPollLease)
             return;
         const bool maySendCommands = owner.isCurrent || m_now < owner.supersededAt + kCommandLease;
@@ -226,11 +255,14 @@
             execute(worker);
             break;
         case Delivery::Late:
-            at(m_now + Millis(pick(500, 6000)), [this, &worker, execute] {
-                m_isExecutedLate = true;
-                execute(worker);
-                m_isExecutedLate = false;
-            });
+            at(m_now + Millis(pick(500, 6000)),
+               [this, &worker, execute, process = worker.info.started] {
+                   if (worker.info.started != process)
+                       return; // its connection ended with the process
+                   m_isExecutedLate = true;
+                   execute(worker);
+                   m_isExecutedLate = false;
+               });
             break;
         case Delivery::RequestLost:
             break;
--- a/tests/scheduling/schedulerhosts_test.cpp
+++ b/tests/scheduling/schedulerhosts_test.cpp
@@ -126,7 +126,7 @@
     REQUIRE(starts.size() == 1);
     confirm(starts);
     const PollRequest poll = nextPoll(starts[0].worker);
-    scheduler.onWorkerTerminated(starts[0].worker, now);
+    scheduler.onWorkerTerminated(starts[0].worker, now, now);
     answerPoll(poll, {{.task = starts[0].task, .run = starts[0].run}});
     CHECK(scheduler.workers().at(starts[0].worker).runs.empty());
 }
--- a/tests/support/fakefleet.cpp
+++ b/tests/support/fakefleet.cpp
@@ -32,7 +32,7 @@
                        .endTime = endTime,
                        .outcome = outcome,
                        .checkpoint = command.checkpoint});
-    m_leaseExpiry = std::max(m_leaseExpiry, command.leaseExpiry);
+    extendLease(command.leaseExpiry, now);
     return CallResult::Ok;
 }
 
@@ -56,10 +56,11 @@
 {
     if (isFenced(token))
         return CallResult::Fenced;
-    m_leaseExpiry = std::max(m_leaseExpiry, request.leaseExpiry);
+    extendLease(request.leaseExpiry, now);
     std::erase_if(ended,
                   [&](const EndedRun &entry) { return entry.sequence <= request.acknowledgedEnd; });
     status.clock = clock(now);
+    status.started = info.started;
     status.ended = ended;
     constexpr int kMaxProgressPercent = 99;
     for (const FakeRun &run : running) {
@@ -74,6 +75,19 @@
     return CallResult::Ok;
 }
 
+void FakeWorker::extendLease(Millis expiry, Instant now)
+{
+    m_leaseExpiry = std::max(m_leaseExpiry, std::min(expiry, clock(now) + kMaxLease));
+}
+
+void FakeWorker::restart(Instant now)
+{
+    WorkerInfo entry = info;
+    entry.started = entry.started.next();
+    *this = FakeWorker(std::move(entry),
+                       -std::chrono::duration_cast<Millis>(now.time_since_epoch()));
+}
+
 void FakeWorker::end(std::size_t index, RunOutcome outcome)
 {
     const FakeRun run = running[index];
--- a/tests/support/fakefleet.h
+++ b/tests/support/fakefleet.h
@@ -42,6 +42,8 @@
     CallResult stop(const StopCommand &command, std::int64_t token, Instant now);
     CallResult poll(const PollRequest &request, std::int64_t token, Instant now,
                     WorkerStatus &status);
+    /// Replaces the process by another one under the same id, which knows nothing of the earlier.
+    void restart(Instant now);
     /// Ends the runs whose end time has passed, and all runs if the lease has expired.
     void step(Instant now);
     Resources used() const;
@@ -56,6 +58,9 @@
     std::map<TaskId, Resources> needs;
 
 private:
+    static constexpr Millis kMaxLease{10000}; // limit of the platform
+
+    void extendLease(Millis expiry, Instant now);
     void end(std::size_t index, RunOutcome outcome);
     /// Returns whether `token` is outdated; otherwise accepts it.
     bool isFenced(std::int64_t token);
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -53,6 +53,7 @@
     {
         const WorkerStatus status{
             .clock = std::chrono::duration_cast<Millis>(now.time_since_epoch()),
+            .started = request.started,
             .running = std::move(running),
             .ended = std::move(ended)};
         scheduler.onPollResult(request, result, status, now, now);
