Hold answers for the caller's whole time limit, and send nothing into a silent table

The deadline of an answer was cut to 2.2 s although callers wait 3 s; a transaction was given up after 2.5 s, too late to send its jobs again; jobs that had never been sent were put into one transaction with jobs of an unanswered one; and nothing stopped a writer from sending new jobs while the table answered nothing.

Change: StoreQueue decides without I/O which jobs of a partition are sent, repeated, read or refused, and TableSilence whether the table answers this node. JobWriter and TableProbe carry the decisions out. A transaction has 1.8 s; its jobs are sent again alone. 400 ms before a deadline, the rows of jobs whose outcome is unknown are read, at most eight at once: job ids are spread over the partition, so one range read would return rows of thousands of other jobs. After 150 ms without any answer (or four usual durations) only probes are sent, which are reads; after 1 s, jobs that were not sent are refused at once. Jobs whose time no longer suffices for a transaction are refused instead of sent; after a refusal, a transaction is expected to wait for a full queue. Callers without a time limit get that of their queue.

--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -40,10 +40,13 @@
 // Limit of one call to the table; a slow table takes several hundred milliseconds.
 constexpr Millis kTableTimeout{700};
 constexpr int kCancelAttempts = 3; // as many as fit into a caller's usual time limit of 3 s
-// Longest time to store a job; also the default when the caller sets no time limit.
-constexpr Millis kMaxSubmitTime{2200};
-// Part of a caller's time limit that is left for the transfer of the response.
-constexpr Millis kResponseReserve{60};
+// Longest time to store a job, whatever time limit the caller sets; it occupies a connection.
+constexpr Millis kMaxSubmitTime{10000};
+constexpr Millis kDefaultTimeLimit{2260}; // of a caller that sets none, on a queue without one
+// The part of a caller's time limit that is left for the transfer of the response: a busy small
+// host takes up to 200 ms of the usual 3 s.
+constexpr Millis kMinResponseReserve{60};
+constexpr int kResponseReserveParts = 15;
 constexpr Millis kRetryDelay{100};
 constexpr Millis kMaxReportAge{2500}; // the owner reports twice a second
 
@@ -53,15 +56,17 @@
     std::uint64_t version = 0;
 };
 
-Instant responseDeadline(const HttpRequest &request, Instant now)
+Instant responseDeadline(const HttpRequest &request, const QueueConfig &queue, Instant now)
 {
-    const auto limit = request[platform::kDeadlineHeader];
+    const auto header = request[platform::kDeadlineHeader];
     std::int64_t milliseconds = 0;
-    const auto parsed = std::from_chars(limit.data(), limit.data() + limit.size(), milliseconds);
-    if (limit.empty() || parsed.ec != std::errc())
-        return now + kMaxSubmitTime;
-    return now
-        + std::clamp(Millis(milliseconds) - kResponseReserve, kResponseReserve, kMaxSubmitTime);
+    const auto parsed = std::from_chars(header.data(), header.data() + header.size(), milliseconds);
+    if (header.empty() || parsed.ec != std::errc())
+        milliseconds = (queue.callerTimeout.count() > 0 ? queue.callerTimeout : kDefaultTimeLimit)
+                           .count();
+    const Millis limit(std::min<std::int64_t>(milliseconds, kMaxSubmitTime.count()));
+    const Millis reserve = std::max(kMinResponseReserve, limit / kResponseReserveParts);
+    return now + std::max(limit - reserve, kMinResponseReserve);
 }
 
 Reply jsonReply(std::string body)
@@ -100,9 +105,11 @@
     , m_table(table)
     , m_view(view)
     , m_metrics(metrics)
+    , m_probe(io, table)
 {
     for (int partition = 0; partition < kJobPartitions; ++partition)
-        m_writers.push_back(std::make_unique<JobWriter>(io, table, jobPartitionName(partition)));
+        m_writers.push_back(
+            std::make_unique<JobWriter>(io, table, m_probe, jobPartitionName(partition)));
 }
 
 Reply CallerApi::refuse(int status, const char *reason, std::optional<Millis> retryAfter)
@@ -139,7 +146,7 @@
     JobTarget target{.queue = *queue,
                      .config = m_view.config->version,
                      .jobId = path.substr(queue->prefix.size()),
-                     .deadline = responseDeadline(request, monotonicNow())};
+                     .deadline = responseDeadline(request, *queue, monotonicNow())};
     const auto key = request[platform::kApiKeyHeader];
     if (std::optional<Reply> refusal = refuseWithoutKey(target, {key.data(), key.size()}))
         co_return std::move(*refusal);
@@ -231,7 +238,7 @@
     job.isReleased = m_view.mayReleaseAtOnce(target.queue.name, monotonicNow());
     auto oneShot = std::make_shared<OneShot<Stored>>(m_io.get_executor());
     m_writers[static_cast<std::size_t>(jobPartition(id))]->store(
-        job, target.deadline, [oneShot](StoreOutcome outcome, std::uint64_t version) {
+        job, target.deadline, false, [oneShot](StoreOutcome outcome, std::uint64_t version) {
             oneShot->set({outcome, version});
         });
     constexpr Millis kSlack{500}; // the writer reports shortly after the deadline
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -55,6 +55,7 @@
     platform::TableClient &m_table;
     const FleetView &m_view;
     Metrics &m_metrics;
+    TableProbe m_probe;
     std::vector<std::unique_ptr<JobWriter>> m_writers; ///< By partition.
 };
 
--- a/src/node/jobwriter.cpp
+++ b/src/node/jobwriter.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "jobwriter.h"
 
 #include "storednames.h"
@@ -6,165 +8,143 @@
 #include "oleanderhall/jobs/jobcodec.h"
 #include "oleanderhall/jobs/jobprogress.h"
 
-#include <algorithm>
 #include <set>
 
 namespace oleanderhall {
 
 namespace {
 
-constexpr std::size_t kMaxBatchJobs = 30; // three entries each; a transaction may hold 100
-// Limit for the encoded jobs of a batch, which are sent as base64 in a call of at most 1 MB.
-constexpr std::size_t kMaxBatchBytes = 400UL << 10;
-// A partition of the table refuses transactions once those in its queue take more than one second.
-// A slow partition takes several hundred milliseconds for each.
-constexpr Millis kStoreTimeout{2500};
-constexpr Millis kRetryDelay{100};
-constexpr Millis kDeadlineCheckInterval{50};
+constexpr Millis kReadTimeout{400}; // a caller's time limit passes soon after
+
+StoreQueue::Result resultOf(platform::TransactionResult::Outcome outcome)
+{
+    using Outcome = platform::TransactionResult::Outcome;
+    switch (outcome) {
+    case Outcome::Done:
+        return StoreQueue::Result::Done;
+    case Outcome::Conflict:
+        return StoreQueue::Result::Conflict;
+    case Outcome::Refused:
+        return StoreQueue::Result::Refused;
+    case Outcome::Unknown:
+        break;
+    }
+    return StoreQueue::Result::Unanswered;
+}
 
 } // namespace
 
-JobWriter::JobWriter(boost::asio::io_context &io, platform::TableClient &table,
+JobWriter::JobWriter(boost::asio::io_context &io, platform::TableClient &table, TableProbe &probe,
                      std::string partition)
     : m_table(table)
+    , m_probe(probe)
     , m_partition(std::move(partition))
-    , m_retryTimer(io)
-    , m_deadlineTimer(io)
+    , m_timer(io)
 {}
 
-void JobWriter::store(const JobSpec &job, Instant deadline, Done done)
+void JobWriter::store(const JobSpec &job, Instant deadline, bool comesLast, Done done)
 {
-    const auto known = m_jobs.find(job.id);
-    if (known == m_jobs.end() && monotonicNow() + m_storeTime.estimate(monotonicNow()) > deadline) {
-        done(StoreOutcome::Refused, 0); // would not be confirmed before the deadline
-        return;
-    }
-    PendingJobPtr &pending = m_jobs[job.id];
-    if (!pending) {
-        pending = std::make_shared<PendingJob>();
-        pending->id = job.id;
-        pending->spec = encodeJob(job);
-        pending->progress = encodeProgress({.id = job.id,
-                                            .team = job.team,
-                                            .acceptedMs = job.acceptedMs,
-                                            .isReleased = job.isReleased});
-        m_queue.push_back(pending);
+    const Instant now = monotonicNow();
+    if (!m_queue.contains(job.id)) {
+        if (!m_queue.admits(deadline, comesLast, m_probe.stage(now), now)) {
+            done(StoreOutcome::Refused, 0);
+            return;
+        }
+        m_jobs[job.id] = {.spec = encodeJob(job),
+                          .progress = encodeProgress({.id = job.id,
+                                                      .team = job.team,
+                                                      .acceptedMs = job.acceptedMs,
+                                                      .isReleased = job.isReleased})};
     }
-    pending->callers.push_back({deadline, std::move(done)});
-    sendBatch();
-    scheduleDeadlineCheck();
+    const std::uint64_t caller = ++m_lastCaller;
+    m_callers.emplace(caller, std::move(done));
+    m_queue.add(job.id, m_jobs.at(job.id).spec.size(), caller, deadline, comesLast);
+    step();
+    scheduleStep();
 }
 
-void JobWriter::scheduleDeadlineCheck()
+void JobWriter::scheduleStep()
 {
-    if (m_isDeadlineCheckScheduled || m_jobs.empty())
+    if (m_isStepScheduled || m_queue.empty())
         return;
-    m_isDeadlineCheckScheduled = true;
-    m_deadlineTimer.expires_after(kDeadlineCheckInterval);
-    m_deadlineTimer.async_wait([this](const boost::system::error_code &error) {
+    m_isStepScheduled = true;
+    m_timer.expires_after(StoreQueue::kTickInterval);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
         if (error)
             return;
-        m_isDeadlineCheckScheduled = false;
-        expireCallers();
-        scheduleDeadlineCheck();
+        m_isStepScheduled = false;
+        step();
+        scheduleStep();
     });
 }
 
-void JobWriter::complete(const PendingJobPtr &pending, StoreOutcome outcome, std::uint64_t version)
-{
-    m_jobs.erase(pending->id);
-    for (const WaitingCaller &caller : std::exchange(pending->callers, {}))
-        caller.done(outcome, version);
-}
-
-/// Answers the callers whose deadline has passed. A job that was never sent is removed with its
-/// last caller.
-void JobWriter::expireCallers()
+void JobWriter::step()
 {
     const Instant now = monotonicNow();
-    std::vector<std::pair<Done, StoreOutcome>> expired;
-    for (const auto &[id, pending] : m_jobs) {
-        const bool isQueued = std::find(m_queue.begin(), m_queue.end(), pending) != m_queue.end();
-        const bool mayBeStored = pending->mayBeStored || !isQueued;
-        std::erase_if(pending->callers, [&](WaitingCaller &caller) {
-            if (now < caller.deadline)
-                return false;
-            expired.emplace_back(std::move(caller.done),
-                                 mayBeStored ? StoreOutcome::Unknown : StoreOutcome::Refused);
-            return true;
-        });
+    const StoreQueue::Step step = m_queue.tick(m_probe.stage(now), now);
+    if (!step.batch.empty())
+        send(step.batch, step.timeout);
+    for (const JobId id : step.reads)
+        readRow(id);
+    if (m_jobs.size() > m_queue.size())
+        std::erase_if(m_jobs, [this](const auto &job) { return !m_queue.contains(job.first); });
+    for (const StoreQueue::Answer &answer : step.answers) {
+        const auto caller = m_callers.find(answer.caller);
+        if (caller == m_callers.end())
+            continue;
+        const Done done = std::move(caller->second);
+        m_callers.erase(caller);
+        done(answer.outcome, answer.version);
     }
-    std::erase_if(m_queue, [&](const PendingJobPtr &pending) {
-        if (!pending->callers.empty())
-            return false;
-        m_jobs.erase(pending->id);
-        return true;
-    });
-    for (const auto &[done, outcome] : expired)
-        done(outcome, 0);
 }
 
-void JobWriter::sendBatch()
+void JobWriter::send(const std::vector<JobId> &batch, Millis timeout)
 {
-    if (m_queue.empty() || m_isInFlight || m_isBackingOff)
-        return;
-    Batch batch;
-    std::size_t bytes = 0;
-    while (!m_queue.empty() && batch.size() < kMaxBatchJobs && bytes < kMaxBatchBytes) {
-        bytes += m_queue.front()->spec.size();
-        batch.push_back(std::move(m_queue.front()));
-        m_queue.pop_front();
-    }
     platform::Transaction transaction{.partition = m_partition};
-    for (const PendingJobPtr &pending : batch) {
-        const std::string progressKey = jobKey(pending->id, JobRow::Progress);
+    for (const JobId id : batch) {
+        const EncodedJob &job = m_jobs.at(id);
+        const std::string progressKey = jobKey(id, JobRow::Progress);
         transaction.preconditions.push_back({kProgressTable, progressKey, 0});
-        transaction.writes.push_back({kJobTable, jobKey(pending->id, JobRow::Spec), pending->spec});
-        transaction.writes.push_back({kProgressTable, progressKey, pending->progress});
+        transaction.writes.push_back({kJobTable, jobKey(id, JobRow::Spec), job.spec});
+        transaction.writes.push_back({kProgressTable, progressKey, job.progress});
     }
-    m_isInFlight = true;
-    m_storeTime.onSent(monotonicNow());
-    m_table.transact(transaction, kStoreTimeout,
-                     [this, batch = std::move(batch)](const platform::TransactionResult &result) {
-                         onBatchAnswered(batch, result);
+    const Instant sentAt = monotonicNow();
+    m_probe.onSent(sentAt);
+    m_table.transact(transaction, timeout,
+                     [this, sentAt](const platform::TransactionResult &result) {
+                         onBatchAnswered(result, sentAt);
                      });
 }
 
-void JobWriter::onBatchAnswered(const Batch &batch, const platform::TransactionResult &result)
+void JobWriter::onBatchAnswered(const platform::TransactionResult &result, Instant sentAt)
 {
-    using Outcome = platform::TransactionResult::Outcome;
-    m_isInFlight = false;
-    m_storeTime.onCompleted(monotonicNow());
-    std::set<std::string> storedKeys;
-    if (result.outcome == Outcome::Conflict) {
+    const Instant now = monotonicNow();
+    if (result.outcome == platform::TransactionResult::Outcome::Unknown)
+        m_probe.onUnanswered(sentAt);
+    else
+        m_probe.onAnswered(sentAt, now);
+    std::set<JobId> stored;
+    if (result.outcome == platform::TransactionResult::Outcome::Conflict) {
         for (const platform::TableRow &row : result.rows) {
-            if (row.version > 0 && !row.isDeleted)
-                storedKeys.insert(row.key);
+            const auto key = parseJobKey(row.key);
+            if (key && key->row == JobRow::Progress && row.version > 0 && !row.isDeleted)
+                stored.insert(key->id);
         }
     }
-    for (auto pending = batch.rbegin(); pending != batch.rend(); ++pending) {
-        if (result.outcome == Outcome::Done) {
-            complete(*pending, StoreOutcome::Stored, result.version);
-        } else if (storedKeys.contains(jobKey((*pending)->id, JobRow::Progress))) {
-            complete(*pending, StoreOutcome::AlreadyStored, result.version);
-        } else {
-            (*pending)->mayBeStored = (*pending)->mayBeStored || result.outcome == Outcome::Unknown;
-            m_queue.push_front(*pending);
-        }
-    }
-    expireCallers();
-    if (result.outcome == Outcome::Refused || result.outcome == Outcome::Unknown) {
-        m_isBackingOff = true;
-        m_retryTimer.expires_after(kRetryDelay);
-        m_retryTimer.async_wait([this](const boost::system::error_code &error) {
-            if (error)
-                return;
-            m_isBackingOff = false;
-            sendBatch();
-        });
-        return;
-    }
-    sendBatch();
+    m_queue.onBatchResult(resultOf(result.outcome), result.version, stored, now);
+    step();
+}
+
+void JobWriter::readRow(JobId id)
+{
+    const std::string key = jobKey(id, JobRow::Progress);
+    m_table.read(kProgressTable, m_partition, key, key + " ", kReadTimeout,
+                 [this, id](const platform::ReadResult &result) {
+                     if (!result.isSuccess || result.rows.empty())
+                         return;
+                     m_queue.onRowFound(id, result.rows.front().version);
+                     step();
+                 });
 }
 
 } // namespace oleanderhall
