Let cpprestsdk's client return its connection before the test sends again

Cause: the test failed once in a whole run beside builds, 1 request where 3 were expected; repeated to trace it, 4 of 60 runs failed, each after 30 s. The client puts a connection back into its pool only after it has passed on the body. A second request before that opens another connection, and FakeUpstream accepts one at a time, so the request waits for the client's limit of 30 s. Change: the test waits half a second before the second request. The check is the same.

--- a/tests/http/upstreamclient_test.cpp
+++ b/tests/http/upstreamclient_test.cpp
@@ -5,7 +5,10 @@
 #include "../support/fakeupstream.h"
 
 #include <catch2/catch.hpp>
+
+#include <chrono>
 #include <cpprest/http_client.h>
+#include <thread>
 
 #include <future>
 
@@ -141,6 +144,9 @@
     web::http::client::http_client client(
         web::uri("http://127.0.0.1:" + std::to_string(upstream.port())));
     client.request(web::http::methods::POST, "/x", "hello").get().extract_string().get();
+    // The client puts its connection back into its pool only after it has passed on the body. A
+    // request before that opens another connection, which this upstream doesn't accept meanwhile.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
     CHECK_THROWS(client.request(web::http::methods::POST, "/x", "hello").get());
     CHECK(upstream.requestCount() == 3);
 }
