Copy stragglers of steps that allow it

Cause: StepSpec::allowsSpeculation was stored and never used, so a job waited for the slowest or hanging worker of its pool.

Change: schedulercopies.cpp looks for runs that take more than twice as long as their done peers (or as expected, with fewer than three peers), or whose progress predicts three times as long, and starts a second run on another worker. At most a tenth of the pool's running tasks, and at least one, are copies; none starts while a released task waits that some worker could run, and capacity for tasks that wait for their release is left free. A task is copied only if both runs may fail without exceeding its queue's attempts. TrackedTask names the current run and the copy, so when one of them is lost the other is the current one. When one ends done, the other is stopped and the task no longer counts as placed, so that a slow stop delays no other task. A new owner keeps two runs where copies are allowed and stops the second elsewhere. Gangs, long-running tasks, tasks on idle cores and steps without the flag are never copied.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -129,6 +129,7 @@
         std::vector<WorkerState *> workers;
         std::vector<Candidate> ranked; ///< As of the last ranking; steps without tasks are removed.
         Instant nextRanking;
+        Instant nextCopies; ///< When to look for stragglers again.
     };
 
     /// Where a worker ran when this owner took over.
@@ -211,6 +212,20 @@
                   Instant now, std::vector<SchedulerAction> &out);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
+    bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now) const;
+
+    // Copies of stragglers.
+    static bool allowsCopies(const StepSpec &spec);
+    static bool mayRunTwice(const TrackedJob &job, const StepSpec &spec, const TrackedTask &task);
+    static double typicalRunTimeMs(const WorkerRun &run, const TrackedStep &step);
+    static double excessOf(const WorkerRun &run, const TrackedStep &step, Instant now);
+    static void trackCopy(TrackedTask &task, WorkerRun &run, WorkerId worker);
+    std::optional<Resources> waitingNeeds(const PoolState &pool, Instant now) const;
+    void placeCopies(PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
+    bool placeCopy(const WorkerRun &run, double excess, Instant now,
+                   std::vector<SchedulerAction> &out);
+    void endOtherRun(const TaskId &id, TrackedTask &task, Instant now);
+
     bool isCertainlyReady(const WorkerState &worker, const WorkerRun &run, Instant now) const;
     StepPresence presenceOf(const TaskId &id, WorkerId here, Instant now) const;
     bool areDependenciesDone(const TrackedJob &job, const Occurrence &occurrence, int step) const;
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -21,11 +21,14 @@
     /// An earlier owner may have started it on a worker whose runs this owner has not read.
     bool mayRunOnUnsyncedWorker = false;
     int failures = 0;
+    std::int64_t currentRun = 0; ///< The number of the current run, if the task is placed.
+    std::int64_t copyRun = 0; ///< The number of the other run at the same time; 0 if there is none.
     std::int64_t lastRun = 0; ///< The highest run number assigned or reported.
     /// Runs whose end was handled. Workers are polled in any order, so the end of an earlier run
     /// may be reported after that of a later one.
     std::vector<std::int64_t> endedRuns;
     WorkerId worker; ///< Of the current run, if the task is placed.
+    WorkerId copyWorker; ///< Of the other run.
     std::vector<WorkerId> failedOn; ///< Workers where a run failed or stalled.
     std::string checkpoint;
     Instant waitingSince;
@@ -44,6 +47,8 @@
     int placedTasks = 0;
     int gangFailures = 0; ///< Number of failed runs of all tasks of a gang together.
     std::int64_t lastGangRun = 0; ///< The run number that the gang's tasks share.
+    int timedTasks = 0; ///< Number of done tasks whose run time is known.
+    double totalRunTimeMs = 0; ///< Of these tasks.
 
     bool isComplete() const { return doneTasks == static_cast<int>(tasks.size()); }
 };
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -27,7 +27,10 @@
     Resources reservation; ///< Subtracted from the worker's free capacity.
     bool usesIdleCores = false; ///< Reserves no cores.
     bool isLongRunning = false;
+    bool allowsCopies = false; ///< Another run of the task may be active at the same time.
+    bool isCopy = false; ///< It was started while another run of the task was active.
     Millis latencyTarget{0};
+    Millis expectedRunTime{0};
     Instant startSent; ///< When the start was first sent.
     Instant runningSince; ///< When the run was first known to be active.
     Instant nextSend; ///< When to send the start or stop, or to repeat it.
--- a/src/scheduling/schedulerbudget.cpp
+++ b/src/scheduling/schedulerbudget.cpp
@@ -44,7 +44,7 @@
         const auto index = static_cast<int>(&task - step->tasks.data());
         const TaskId peer{id.job, id.occurrence, id.step, index};
         for (const WorkerRun &run : worker->second.runs) {
-            if (run.task == peer && run.run == task.lastRun
+            if (run.task == peer && run.run == task.currentRun
                 && isCertainlyReady(worker->second, run, now))
                 ++presence.elsewhere;
         }
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -24,7 +24,20 @@
 void Scheduler::unplace(const WorkerRun &run, Instant now)
 {
     TrackedTask *task = findTask(run.task);
-    if (!task || !task->isPlaced || task->lastRun != run.run)
+    if (!task || !task->isPlaced)
+        return;
+    const bool isCurrent = task->currentRun == run.run;
+    if (task->copyRun != 0 && (isCurrent || task->copyRun == run.run)) {
+        // The other run goes on.
+        if (isCurrent) {
+            task->currentRun = task->copyRun;
+            task->worker = task->copyWorker;
+        }
+        task->copyRun = 0;
+        task->copyWorker = {};
+        return;
+    }
+    if (!isCurrent)
         return;
     task->isPlaced = false;
     task->worker = {};
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -62,8 +62,13 @@
 
 bool Scheduler::mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const
 {
-    if (task.isDone || task.isPlaced)
-        return false;
+    return !task.isDone && !task.isPlaced && areEarlierRunsKnown(job, task, now);
+}
+
+/// Returns whether no run that an earlier owner may have started is unknown to this owner.
+bool Scheduler::areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task,
+                                    Instant now) const
+{
     return !task.mayRunOnUnsyncedWorker || now - m_termStart >= m_settings.inheritedTaskDelay
         || isSynced(job.spec.queue.pool);
 }
@@ -187,6 +192,7 @@
                 pools.end());
     for (auto pool = pools.begin(); pool != pools.end(); ++pool) {
         placePool(m_pools.at(*pool), now, out);
+        placeCopies(m_pools.at(*pool), now, out);
         if (!m_startWindow.isOpen()) {
             m_firstPool = pool + 1 == pools.end() ? pools.front() : *(pool + 1);
             m_needsPlacement = true;
@@ -360,6 +366,7 @@
         WorkerState &worker = *candidate;
         const WorkerId id = worker.info.id;
         if (!worker.acceptsNewTasks(now) || !need.fitsInto(worker.freeCapacity())
+            || (task.isPlaced && id == task.worker) // a copy runs elsewhere
             || (!spec.requiredLabel.empty() && !worker.info.hasLabel(spec.requiredLabel)))
             continue;
         if (job.spec.queue.advice
@@ -421,11 +428,18 @@
     run.startSent = now;
     run.startAttempts = 1;
     run.isCommandInFlight = true;
-    task.isPlaced = true;
+    run.allowsCopies = allowsCopies(spec);
+    run.expectedRunTime = m_runTimes.expected(job.spec.queue.name, spec);
+    if (task.isPlaced) {
+        trackCopy(task, run, worker.info.id);
+    } else {
+        task.isPlaced = true;
+        task.worker = worker.info.id;
+        task.currentRun = number;
+        task.lastRun = number;
+        ++step.placedTasks;
+    }
     task.mayRunOnUnsyncedWorker = false;
-    task.worker = worker.info.id;
-    task.lastRun = number;
-    ++step.placedTasks;
     worker.used += run.reservation;
     if (worker.runs.empty())
         worker.nextPoll = std::max(worker.nextPoll, now + m_settings.pollSpacing);
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -90,10 +90,13 @@
     run.checkpoint = reported.checkpoint;
     run.recentLoad = reported.recentLoad;
     if (spec) {
+        if (job != m_jobs.end())
+            run.expectedRunTime = m_runTimes.expected(job->second.spec.queue.name, *spec);
         run.reservation = spec->need;
         run.usesIdleCores = spec->usesIdleCores;
         run.isLongRunning = spec->isLongRunning;
         run.latencyTarget = spec->latencyTarget;
+        run.allowsCopies = allowsCopies(*spec);
         if (run.usesIdleCores)
             run.reservation.milliCores = 0;
     }
@@ -102,12 +105,16 @@
     if (isWanted) {
         task->isPlaced = true;
         task->worker = worker.info.id;
+        task->currentRun = reported.run;
         task->lastRun = std::max(task->lastRun, reported.run);
         TrackedStep *step = findStep(reported.task);
         ++step->placedTasks;
         step->lastGangRun = std::max(step->lastGangRun, reported.run);
         if (job->second.state == JobState::Queued)
             job->second.state = JobState::Running;
+    } else if (task && spec && job != m_jobs.end() && !task->hasEnded(reported.run)
+               && task->worker != worker.info.id && mayRunTwice(job->second, *spec, *task)) {
+        trackCopy(*task, run, worker.info.id);
     } else {
         logDecision({"stray_run_stopped",
                      {{"task", textOf(reported.task)},
@@ -158,17 +165,22 @@
                 ++step.doneTasks;
             }
         }
-        if (task->isPlaced) {
+        if (spec.isGang && task->isPlaced) {
             for (auto &[id, other] : m_workers) {
                 for (WorkerRun &run : other.runs) {
                     if (run.task == ended.task)
                         requestStop(run, now);
                 }
             }
+        } else {
+            endOtherRun(ended.task, *task, now);
+        }
+        if (runningSince != Instant{}) {
+            const auto runTime = std::chrono::duration_cast<Millis>(now - runningSince);
+            m_runTimes.observe(job.spec.queue.name, spec.estimate, runTime);
+            step.totalRunTimeMs += static_cast<double>(runTime.count());
+            ++step.timedTasks;
         }
-        if (runningSince != Instant{})
-            m_runTimes.observe(job.spec.queue.name, spec.estimate,
-                               std::chrono::duration_cast<Millis>(now - runningSince));
         worker.lastFailedJob = {};
         worker.timesAvoided = 0;
         m_needsPlacement = true;
