Refuse what a team sends beyond its rate where room is short, and store such jobs last

Cause: a team that sends five to seven times its usual load fills the pools' queues, the batches of the writers and the owner's tables for all teams, and its callers wait for jobs that won't run in time.

Change: the owner's report also carries, in a deployment with teams, the wait of a new job that is placed after all waiting ones (Scheduler::poolWaits, non-zero pools only) and the rates of teams near or above their weight, with the time of writing on the table's clock. Entry hosts use it for 2.5 s. AdmissionPolicy decides without I/O: an entry host estimates the team's calls everywhere from the published rate of accepted jobs and from the share of its own calls that it accepted, lets the share that the team is owed pass, and refuses the rest with 429 `team_over_rate` if a job placed last would wait longer than 500 ms and half of the queue's allowance. With room, the rest is accepted and sent to the table after all other jobs. Retry-After is the expected turn, spread between a half and one and a half of it. Refusals by the table are spread, too. Public queues are not affected. TeamCallLog bounds the teams named in metrics and log lines.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -100,6 +100,9 @@
     void evacuate(const std::set<WorkerId> &workers, Instant now);
     /// Returns the capacity that the work of each pool requires.
     PoolDemands poolDemands(Instant now);
+    /// Returns how long a new job would wait in each pool if it was placed after all waiting ones.
+    /// Pools with room, or without waiting work, are omitted.
+    std::map<PoolId, Millis> poolWaits(Instant now) const;
     /// Sets the workers whose hosts will be maintained soon. Long-running tasks prefer others.
     void setAwaitingMaintenance(std::set<WorkerId> workers)
     {
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -77,6 +77,12 @@
     m_counters[name] += amount;
 }
 
+void Metrics::countLabelled(const std::string &name, const std::string &labels)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_labelledCounters[name][labels];
+}
+
 void Metrics::gauge(const std::string &name, double value)
 {
     const std::lock_guard lock(m_mutex);
@@ -106,6 +112,11 @@
         writeType(out, name, "counter");
         out << "oleanderhall_" << name << " " << amount << "\n";
     }
+    for (const auto &[name, series] : m_labelledCounters) {
+        writeType(out, name, "counter");
+        for (const auto &[labels, amount] : series)
+            out << "oleanderhall_" << name << "{" << labels << "} " << amount << "\n";
+    }
     for (const auto &[name, value] : m_gauges) {
         writeType(out, name, "gauge");
         out << "oleanderhall_" << name << " " << value << "\n";
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -30,6 +30,9 @@
     void countResponse(int status, Millis duration);
     /// Adds `amount` to the counter `name`, which should end in `_total`.
     void count(const std::string &name, std::uint64_t amount = 1);
+    /// Adds 1 to the counter `name` with `labels`, such as `kind="a"`, whose values must be escaped
+    /// and few.
+    void countLabelled(const std::string &name, const std::string &labels);
     /// Sets the gauge `name`.
     void gauge(const std::string &name, double value);
     /// Records `duration` in the latency histogram `name`, which should end in `_seconds`.
@@ -56,6 +59,7 @@
     std::map<std::string, Latency> m_latencies;
     std::map<int, std::uint64_t> m_responses;
     std::map<std::string, std::uint64_t> m_counters;
+    std::map<std::string, std::map<std::string, std::uint64_t>> m_labelledCounters; ///< By name.
     std::map<std::string, double> m_gauges;
 };
 
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <random>
 
 namespace oleanderhall {
 
@@ -33,6 +34,7 @@
 constexpr int kNotFound = 404;
 constexpr int kNotAllowed = 405;
 constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kOutcomeUnknown = 504;
 // Retry-After of temporary refusals, such as while the table or the configuration is missing.
@@ -47,6 +49,8 @@
 // host takes up to 200 ms of the usual 3 s.
 constexpr Millis kMinResponseReserve{60};
 constexpr int kResponseReserveParts = 15;
+// Room is short when a job placed last would wait longer than this, and than half of its allowance.
+constexpr Millis kMinShortWait{500};
 constexpr Millis kRetryDelay{100};
 constexpr Millis kMaxReportAge{2500}; // the owner reports twice a second
 
@@ -81,6 +85,13 @@
     return !progress.team.empty() && progress.team != team;
 }
 
+/// Returns a value in [0, 1) that differs between processes.
+double randomFraction()
+{
+    std::random_device device;
+    return std::uniform_real_distribution<double>(0, 1)(device);
+}
+
 std::string findingsBody(const FindingList &findings)
 {
     web::json::value list = web::json::value::array();
@@ -100,12 +111,14 @@
 } // namespace
 
 CallerApi::CallerApi(asio::io_context &io, platform::TableClient &table, const FleetView &view,
-                     Metrics &metrics)
+                     Metrics &metrics, Millis teamRateWindow)
     : m_io(io)
     , m_table(table)
     , m_view(view)
     , m_metrics(metrics)
     , m_probe(io, table)
+    , m_admission(teamRateWindow, randomFraction())
+    , m_retrySpread(randomFraction())
 {
     for (int partition = 0; partition < kJobPartitions; ++partition)
         m_writers.push_back(
@@ -218,13 +231,50 @@
     co_return result ? std::move(*result) : ReadResult{};
 }
 
+AdmissionPolicy::Verdict CallerApi::admit(const JobTarget &target, Instant now)
+{
+    if (target.team.empty())
+        return {};
+    AdmissionPolicy::TeamLoad load{.isKnown = m_view.isLoadKnown(now)};
+    for (const TeamConfig &team : m_view.config->teams) {
+        if (team.id == target.team)
+            load.weight = team.weight;
+    }
+    const LoadReport &report = m_view.report.load;
+    const auto rate = report.teamRates.find(target.team.name());
+    if (rate != report.teamRates.end())
+        load.acceptedRate = rate->second;
+    const auto wait = report.poolWaits.find(target.queue.pool.name());
+    load.isRoomShort = wait != report.poolWaits.end()
+        && wait->second > std::max(kMinShortWait, target.queue.allowance / 2);
+    return m_admission.decide(target.team, load, now);
+}
+
+void CallerApi::recordTeamCall(TeamId team, const char *outcome)
+{
+    if (team.empty())
+        return;
+    m_metrics.countLabelled("team_calls_total", m_teamCalls.record(team, outcome));
+    if (const auto counts = m_teamCalls.takeLine(monotonicNow()))
+        logInfo("team_calls", {{"counts", *counts}});
+}
+
 asio::awaitable<Reply> CallerApi::submit(JobTarget target, JobId id, std::string body)
 {
+    JobWriter &writer = *m_writers[static_cast<std::size_t>(jobPartition(id))];
+    AdmissionPolicy::Verdict verdict;
+    if (!writer.contains(id)) // a repeated call must not be told that the job isn't stored
+        verdict = admit(target, monotonicNow());
+    if (!verdict.isAccepted) {
+        recordTeamCall(target.team, "team_over_rate");
+        co_return refuse(kTooManyRequests, "team_over_rate", verdict.retryAfter);
+    }
     JobSpec job{.id = id, .queue = target.queue, .team = target.team, .config = target.config};
     FindingList findings;
     platform::decodeJob(body, job, findings);
     if (!findings.empty()) {
         m_metrics.count("job_refusals_malformed_total");
+        recordTeamCall(target.team, "malformed");
         logInfo("job_refused", {{"job", textOf(id)}, {"reason", "malformed"}});
         co_return Reply{.status = kBadRequest,
                         .headers = {{"Content-Type", "application/json"}},
@@ -232,15 +282,16 @@
     }
     if (!m_view.isTableReachable(monotonicNow())) {
         logInfo("job_refused", {{"job", textOf(id)}, {"reason", "table_unreachable"}});
+        recordTeamCall(target.team, "table_unreachable");
         co_return refuse(kUnavailable, "table_unreachable", kRetryAfter);
     }
     job.acceptedMs = m_view.tableTime(monotonicNow());
     job.isReleased = m_view.mayReleaseAtOnce(target.queue.name, monotonicNow());
     auto oneShot = std::make_shared<OneShot<Stored>>(m_io.get_executor());
-    m_writers[static_cast<std::size_t>(jobPartition(id))]->store(
-        job, target.deadline, false, [oneShot](StoreOutcome outcome, std::uint64_t version) {
-            oneShot->set({outcome, version});
-        });
+    writer.store(job, target.deadline, verdict.isOverRate,
+                 [oneShot](StoreOutcome outcome, std::uint64_t version) {
+                     oneShot->set({outcome, version});
+                 });
     constexpr Millis kSlack{500}; // the writer reports shortly after the deadline
     const std::optional<Stored> stored = co_await oneShot->wait(
         std::chrono::steady_clock::now() + (target.deadline - monotonicNow()) + kSlack);
@@ -255,18 +306,18 @@
                  {"config", std::to_string(target.config.value)},
                  {"version", std::to_string(stored->version)},
                  {"new", isNew ? "true" : "false"}});
+        recordTeamCall(target.team, "accepted");
         co_return jsonReply(R"({"state":"queued"})");
     }
     const bool mayBeStored = outcome == StoreOutcome::Unknown;
-    logWarning(
-        "job_refused",
-        {{"job", textOf(id)}, {"reason", mayBeStored ? "outcome_unknown" : "table_refused"}});
+    const char *reason = mayBeStored ? "outcome_unknown" : "table_refused";
+    logWarning("job_refused", {{"job", textOf(id)}, {"reason", reason}});
+    recordTeamCall(target.team, reason);
     // The job may have been stored, so the response must not say that it was not.
     if (mayBeStored)
-        co_return refuse(kOutcomeUnknown, "outcome_unknown", std::nullopt);
-    const Millis expected = m_writers[static_cast<std::size_t>(jobPartition(id))]->expectedDelay(
-        monotonicNow());
-    co_return refuse(kUnavailable, "table_refused", std::max(kRetryAfter, expected));
+        co_return refuse(kOutcomeUnknown, reason, std::nullopt);
+    const Millis expected = std::max(kRetryAfter, writer.expectedDelay(monotonicNow()));
+    co_return refuse(kUnavailable, reason, std::max(expected, m_retrySpread.next(expected)));
 }
 
 asio::awaitable<Reply> CallerApi::jobState(const JobTarget &target, JobId id)
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -2,11 +2,13 @@
 
 #include "fleetview.h"
 #include "jobwriter.h"
+#include "teamcalllog.h"
 
 #include "../../platform/tableclient.h"
 #include "../http/callerserver.h"
 
 #include "oleanderhall/jobs/taskid.h"
+#include "oleanderhall/teams/admissionpolicy.h"
 
 #include <optional>
 #include <string>
@@ -21,8 +23,9 @@
 class CallerApi
 {
 public:
+    /// `teamRateWindow` is the time over which the rates of teams are measured.
     CallerApi(boost::asio::io_context &io, platform::TableClient &table, const FleetView &view,
-              Metrics &metrics);
+              Metrics &metrics, Millis teamRateWindow);
 
     /// Answers one request; refusals name their reason in the body.
     boost::asio::awaitable<Reply> answer(HttpRequest &request);
@@ -39,6 +42,9 @@
     };
 
     boost::asio::awaitable<Reply> submit(JobTarget target, JobId id, std::string body);
+    /// Decides whether a new job may be stored, and whether it comes after those of other teams.
+    AdmissionPolicy::Verdict admit(const JobTarget &target, Instant now);
+    void recordTeamCall(TeamId team, const char *outcome);
     boost::asio::awaitable<Reply> jobState(const JobTarget &target, JobId id);
     boost::asio::awaitable<Reply> cancel(const JobTarget &target, JobId id);
     /// Returns the refusal of a call that may not use the target's queue, or nothing. Sets the
@@ -57,6 +63,9 @@
     Metrics &m_metrics;
     TableProbe m_probe;
     std::vector<std::unique_ptr<JobWriter>> m_writers; ///< By partition.
+    AdmissionPolicy m_admission;
+    RetrySpread m_retrySpread;
+    TeamCallLog m_teamCalls;
 };
 
 } // namespace oleanderhall
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -74,7 +74,7 @@
         : m_settings(settings)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
         , m_table(m_io, settings.tableAddress, m_metrics)
-        , m_api(m_io, m_table, m_view, m_metrics)
+        , m_api(m_io, m_table, m_view, m_metrics, settings.teamRateWindow)
         , m_ownership(settings.id.name(), ownershipSettings(), monotonicNow())
         , m_ownershipTimer(m_io)
         , m_shutdownTimer(m_io)
@@ -275,6 +275,8 @@
             for (const QueueLoad &load : m_owner->queueLoads())
                 waiting[load.queue] = web::json::value(load.waitingJobs);
             record["waiting"] = waiting;
+            if (m_view.config && !m_view.config->teams.empty())
+                encodeLoadReport(m_owner->loadReport(monotonicNow()), record);
         }
         return record.serialize();
     }
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -46,6 +46,7 @@
     , m_scheduler(schedulerSettings(settings), m_term.generation - 1, monotonicNow())
     , m_workerClient(io, metrics, m_term.version)
     , m_stepTimer(io)
+    , m_teamRates(settings.teamRateWindow)
 {
     if (!settings.adviceAddress.empty())
         m_adviceClient = std::make_unique<platform::AdviceClient>(io, settings.adviceAddress,
@@ -99,6 +100,16 @@
     return m_isLoaded ? m_scheduler.queueLoads() : std::vector<QueueLoad>();
 }
 
+LoadReport FleetOwner::loadReport(Instant now) const
+{
+    LoadReport report{.writtenMs = m_view.tableTime(now)};
+    for (const auto &[pool, wait] : m_scheduler.poolWaits(now))
+        report.poolWaits[pool.name()] = wait;
+    if (m_view.config)
+        report.teamRates = reportedTeamRates(m_teamRates, m_view.config->teams, now);
+    return report;
+}
+
 std::string FleetOwner::addressOf(WorkerId worker) const
 {
     const auto found = m_scheduler.workers().find(worker);
--- a/src/node/fleetowner.h
+++ b/src/node/fleetowner.h
@@ -43,6 +43,8 @@
     void viewChanged();
     /// Returns the number of waiting jobs of each queue; empty until the jobs are loaded.
     std::vector<QueueLoad> queueLoads() const;
+    /// Returns what entry hosts need for early refusals.
+    LoadReport loadReport(Instant now) const;
     bool isLoaded() const { return m_isLoaded; }
     /// Returns whether a fencing token row or a worker's refusal has shown that another process
     /// took over ownership.
@@ -94,6 +96,7 @@
     bool m_haveWritesSucceeded = true; ///< None of them has failed so far.
     std::map<JobId, std::uint64_t> m_progressVersions; ///< Expected by the next progress write.
     boost::asio::steady_timer m_stepTimer;
+    TeamRates m_teamRates; ///< Of accepted jobs.
     bool m_isStepScheduled = false;
     bool m_isLoaded = false;
     bool m_areWorkersListed = false;
--- a/src/node/fleetownerloading.cpp
+++ b/src/node/fleetownerloading.cpp
@@ -143,6 +143,8 @@
         const JobProgress progress = known == m_inheritedProgress.end()
             ? JobProgress{.id = key->id, .isReleased = spec->isReleased}
             : known->second;
+        if (!spec->team.empty() && !m_scheduler.jobs().contains(key->id))
+            m_teamRates.add(spec->team, now - age);
         m_scheduler.addJob(std::move(*spec), progress, isFirst, now - age);
         m_inheritedProgress.erase(key->id);
     }
--- a/src/node/fleetview.h
+++ b/src/node/fleetview.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "loadreport.h"
+
 #include "oleanderhall/core/time.h"
 #include "oleanderhall/jobs/fleetconfig.h"
 #include "oleanderhall/maintenance/wave.h"
@@ -22,6 +24,7 @@
     {
         std::map<std::string, std::int64_t> waitingJobs; ///< Number of waiting jobs, by queue.
         Instant receivedAt;
+        LoadReport load;
     };
 
     std::optional<FleetConfig> config;
@@ -57,6 +60,9 @@
     /// interval at which an owner renews its lease.
     static constexpr Millis kReportLifetime{750};
 
+    /// Returns whether `report.load` is recent enough for decisions about admission.
+    bool isLoadKnown(Instant now) const { return report.load.isUsable(tableTime(now)); }
+
     /// Returns whether the owner may start a new job of the queue without recording its release
     /// first. If jobs of the queue wait, the owner releases the new one in its turn. If the owner
     /// seems lost, its successor must be able to tell that the job was never started: a released
--- a/src/node/jobwriter.h
+++ b/src/node/jobwriter.h
@@ -36,6 +36,8 @@
     /// may store the same job. A job that `comesLast` is sent only when no other waits.
     void store(const JobSpec &job, Instant deadline, bool comesLast, Done done);
 
+    /// Returns whether the job waits to be stored or is being stored.
+    bool contains(JobId id) const { return m_queue.contains(id); }
     /// Returns the estimated time to store a job that arrives now.
     Millis expectedDelay(Instant now) const { return m_queue.expectedDelay(now); }
 
--- a/src/node/viewupdate.cpp
+++ b/src/node/viewupdate.cpp
@@ -56,11 +56,13 @@
         const web::json::value record = web::json::value::parse(text);
         if (!record.has_field("waiting"))
             return; // the owner has not loaded the jobs yet
+        view.report.load = {};
+        view.report.load = decodeLoadReport(record);
         view.report.waitingJobs.clear();
         for (const auto &[queue, waiting] : record.at("waiting").as_object())
             view.report.waitingJobs[queue] = waiting.as_number().to_int64();
         view.report.receivedAt = monotonicNow();
-    } catch (const web::json::json_exception &error) {
+    } catch (const std::exception &error) {
         logWarning("report_unreadable", {{"reason", error.what()}});
     }
 }
--- a/src/node/viewupdate.h
+++ b/src/node/viewupdate.h
@@ -17,7 +17,8 @@
 /// decoded before the error.
 TermRecord decodeTerm(const platform::TableRow &row);
 /// Applies the owner's report, the value of the heartbeat row. Invalid JSON changes nothing, nor
-/// does a report without queue lengths. If the queue lengths can't be decoded, the previous ones
+/// does a report without queue lengths. If the pools' and teams' load can't be decoded, it is
+/// unknown and the rest stays as it was. If the queue lengths can't be decoded, the previous ones
 /// are dropped, those decoded before the error are applied and the report's time of receipt stays.
 void applyOwnerReport(FleetView &view, const std::string &text);
 /// Adds the handled hosts of a wave. If an entry can't be decoded, the hosts before it
