--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -8,20 +8,20 @@
 
 namespace {
 
-std::uint64_t weight(PoolId pool, EntryId entry)
+std::uint64_t weight(std::string_view key, EntryId entry)
 {
-    const std::string key = pool.name() + '\n' + entry.name();
-    return XXH3_64bits(key.data(), key.size());
+    const std::string text = std::string(key) + '\n' + entry.name();
+    return XXH3_64bits(text.data(), text.size());
 }
 
 } // namespace
 
-std::optional<EntryId> ownerOf(PoolId pool, const std::vector<EntryId> &live)
+std::optional<EntryId> rendezvous(std::string_view key, const std::vector<EntryId> &candidates)
 {
     std::optional<EntryId> best;
     std::uint64_t bestWeight = 0;
-    for (const EntryId entry : live) {
-        const std::uint64_t candidate = weight(pool, entry);
+    for (const EntryId entry : candidates) {
+        const std::uint64_t candidate = weight(key, entry);
         if (best && std::make_pair(candidate, entry) <= std::make_pair(bestWeight, *best))
             continue;
         best = entry;
@@ -30,4 +30,9 @@
     return best;
 }
 
+std::optional<EntryId> ownerOf(PoolId pool, const std::vector<EntryId> &live)
+{
+    return rendezvous(pool.name(), live);
+}
+
 } // namespace oleanderhall
