--- a/src/node/storednames.h
+++ b/src/node/storednames.h
@@ -26,6 +26,10 @@
 /// watches only `kJobTable`, so its own progress writes don't wake it up.
 inline constexpr const char *kProgressTable = "progress";
 inline constexpr const char *kControlTable = "control";
+/// Internal: the fleet nodes and their peer addresses, by node id. A partition of its own, so that
+/// registrations don't delay the owner's renewals while the table is slow.
+inline constexpr const char *kMemberTable = "members";
+inline constexpr const char *kMemberPartition = "members";
 inline constexpr const char *kTermKey = "term";
 inline constexpr const char *kHeartbeatKey = "beat";
 
