Forward callers' calls to peers while a node can't use the table or the table is slow

Cause: nodes that the table rejects refuse every call although others are served. With the table 60 times slower, 29 nodes send transactions of one to three jobs and fill the partitions' queues. Change: CallForwarder wraps CallerApi. The peer's listener answers with the same CallerApi and never passes on. JobWriter hands jobs off that the table has rejected and that are certainly not stored, if another node may store them; the call is then forwarded with the time left.

--- a/include/oleanderhall/routing/tablespeed.h
+++ b/include/oleanderhall/routing/tablespeed.h
@@ -21,7 +21,7 @@
     static constexpr Millis kSlowFrom{150};
     static constexpr Millis kFastUpTo{60};
     /// A transaction in flight for this long shows a slow table by itself.
-    static constexpr Millis kSlowInFlight{400};
+    static constexpr Millis kSlowInFlight{300};
     /// Successive slow or fast transactions that change the decision. One slow one can be a lost
     /// packet, one fast one a transaction that found its partition idle.
     static constexpr int kSlowToEnter = 2;
--- a/src/membership/peerlist.cpp
+++ b/src/membership/peerlist.cpp
@@ -82,8 +82,10 @@
     const Member *best = nullptr;
     std::tuple<bool, double, std::uint64_t> bestRank;
     for (const auto &[id, member] : m_members) {
-        const auto isSame = [&, candidate = id](const Peer &peer) { return peer.id == candidate; };
-        const auto isNear = [&](const Peer &peer) { return peer.zone == member.peer.zone; };
+        const auto isSame = [candidate = id](const Peer &peer) { return peer.id == candidate; };
+        const auto isNear = [zone = member.peer.zone](const Peer &peer) {
+            return peer.zone == zone;
+        };
         if (!isUsable(member, now) || std::any_of(tried.begin(), tried.end(), isSame))
             continue;
         const std::tuple rank(std::any_of(tried.begin(), tried.end(), isNear),
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -105,6 +105,13 @@
         m_writers.push_back(std::make_unique<JobWriter>(io, table, jobPartitionName(partition)));
 }
 
+void CallerApi::setHandOff(const std::function<bool(int)> &isBetterElsewhere)
+{
+    for (int partition = 0; partition < kJobPartitions; ++partition)
+        m_writers[static_cast<std::size_t>(partition)]->setHandOff(
+            [isBetterElsewhere, partition] { return isBetterElsewhere(partition); });
+}
+
 Reply CallerApi::refuse(int status, const char *reason, std::optional<Millis> retryAfter)
 {
     m_metrics.count(std::string("job_refusals_") + reason + "_total");
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -26,6 +26,9 @@
 
     /// Answers one request; refusals name their reason in the body.
     boost::asio::awaitable<Reply> answer(HttpRequest &request);
+    /// Lets jobs of a partition that the table has rejected be refused at once while
+    /// `isBetterElsewhere` returns true for the partition; see JobWriter::setHandOff().
+    void setHandOff(const std::function<bool(int partition)> &isBetterElsewhere);
 
 private:
     boost::asio::awaitable<Reply> route(HttpRequest &request);
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -3,9 +3,12 @@
 #include "fleetnode.h"
 
 #include "callerapi.h"
+#include "callforwarder.h"
 #include "fleetowner.h"
 #include "fleetview.h"
+#include "memberregistry.h"
 #include "storednames.h"
+#include "tablemonitor.h"
 #include "tablewatcher.h"
 #include "viewupdate.h"
 
@@ -58,6 +61,14 @@
     return limits;
 }
 
+CallerLimits peerLimits()
+{
+    CallerLimits limits = callerLimits();
+    limits.bufferedBytes = 4UL << 20;
+    limits.connections = 2400; // 16 from each of 147 nodes
+    return limits;
+}
+
 std::string encodeTerm(const TermRecord &term)
 {
     web::json::value record = web::json::value::object();
@@ -75,17 +86,27 @@
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
         , m_table(m_io, settings.tableAddress, m_metrics)
         , m_api(m_io, m_table, m_view, m_metrics)
+        , m_peers(registration())
+        , m_members(m_io, m_table, registration(), m_peers, m_metrics)
+        , m_forwarder(m_io, m_view, m_peers, m_tableMonitor, m_metrics,
+                      [this](HttpRequest &request) { return m_api.answer(request); })
         , m_ownership(settings.id.name(), ownershipSettings(), monotonicNow())
         , m_ownershipTimer(m_io)
         , m_shutdownTimer(m_io)
     {
         m_view.accessLease = AccessLease(settings.keyWithdrawalTimeout);
+        m_table.setObserver([this](const platform::TableCall &call) {
+            m_tableMonitor.observe(call, monotonicNow());
+        });
+        m_api.setHandOff(
+            [this](int partition) { return m_forwarder.isBetterElsewhere(partition); });
     }
 
     int run()
     {
         waitForSignal();
         serveCallers();
+        servePeers();
         serveHealth();
         serveMetrics();
         watchTables();
@@ -117,11 +138,31 @@
     void serveCallers()
     {
         m_callerServer = std::make_shared<CallerServer>(
-            m_io, callerLimits(), [this](HttpRequest &request) { return m_api.answer(request); },
-            m_metrics);
+            m_io, callerLimits(),
+            [this](HttpRequest &request) { return m_forwarder.answer(request); }, m_metrics);
         m_callerServer->start(m_settings.callerAddress.address, m_settings.callerAddress.port);
     }
 
+    /// Without a peer address this node knows no peers, so it forwards nothing.
+    void servePeers()
+    {
+        if (m_settings.peerAddress.port == 0)
+            return;
+        m_peerServer = std::make_shared<CallerServer>(
+            m_io, peerLimits(),
+            [this](HttpRequest &request) { return m_forwarder.answerPeer(request); }, m_metrics);
+        m_peerServer->start(m_settings.peerAddress.address, m_settings.peerAddress.port);
+        m_members.start();
+    }
+
+    Peer registration() const
+    {
+        return {.id = m_settings.id,
+                .zone = m_settings.zone,
+                .address = m_settings.peerAddress.text(),
+                .processorCores = m_settings.processorCores};
+    }
+
     void serveHealth()
     {
         m_healthServer = std::make_shared<CallerServer>(
@@ -324,10 +365,16 @@
         logInfo("stopping", {{"owner", m_ownership.isOwner() ? "true" : "false"}});
         m_isShuttingDown = true;
         handOver();
+        if (m_peerServer) {
+            m_members.leave();
+            m_peerServer->drain();
+        }
         m_shutdownTimer.expires_after(kUnreadyPeriod);
         m_shutdownTimer.async_wait([this](const boost::system::error_code &) {
             m_callerServer->drain();
             m_callerServer->stop();
+            if (m_peerServer)
+                m_peerServer->stop();
             m_shutdownDeadline = monotonicNow() + m_settings.shutdownTimeout - kUnreadyPeriod
                 - kShutdownReserve;
             finishShutdown();
@@ -359,7 +406,9 @@
 
     void finishShutdown()
     {
-        if (m_callerServer->requestsInFlight() == 0 || monotonicNow() >= m_shutdownDeadline) {
+        const int peerCalls = m_peerServer ? m_peerServer->requestsInFlight() : 0;
+        if (m_callerServer->requestsInFlight() + peerCalls == 0
+            || monotonicNow() >= m_shutdownDeadline) {
             m_io.stop();
             return;
         }
@@ -372,11 +421,16 @@
     asio::signal_set m_signals;
     Metrics m_metrics;
     platform::TableClient m_table;
+    TableMonitor m_tableMonitor;
     FleetView m_view;
     CallerApi m_api;
+    PeerList m_peers;
+    MemberRegistry m_members;
+    CallForwarder m_forwarder;
     Ownership m_ownership;
     std::shared_ptr<FleetOwner> m_owner;
     std::shared_ptr<CallerServer> m_callerServer;
+    std::shared_ptr<CallerServer> m_peerServer;
     std::shared_ptr<CallerServer> m_healthServer;
     std::shared_ptr<CallerServer> m_metricsServer;
     std::shared_ptr<TableWatcher> m_controlWatcher;
--- a/src/node/jobwriter.cpp
+++ b/src/node/jobwriter.cpp
@@ -104,6 +104,19 @@
         done(outcome, 0);
 }
 
+void JobWriter::handOffQueued()
+{
+    std::vector<PendingJobPtr> refused;
+    std::erase_if(m_queue, [&](const PendingJobPtr &pending) {
+        if (pending->mayBeStored)
+            return false;
+        refused.push_back(pending);
+        return true;
+    });
+    for (const PendingJobPtr &pending : refused)
+        complete(pending, StoreOutcome::Refused, 0);
+}
+
 void JobWriter::sendBatch()
 {
     if (m_queue.empty() || m_isInFlight || m_isBackingOff)
@@ -153,6 +166,8 @@
         }
     }
     expireCallers();
+    if (result.outcome == Outcome::Refused && m_isBetterElsewhere && m_isBetterElsewhere())
+        handOffQueued();
     if (result.outcome == Outcome::Refused || result.outcome == Outcome::Unknown) {
         m_isBackingOff = true;
         m_retryTimer.expires_after(kRetryDelay);
--- a/src/node/jobwriter.h
+++ b/src/node/jobwriter.h
@@ -41,6 +41,13 @@
     /// may store the same job.
     void store(const JobSpec &job, Instant deadline, Done done);
 
+    /// Is asked when the table has rejected a batch. If it returns true, queued jobs that are
+    /// certainly not stored end as Refused at once, so that another node can store them.
+    void setHandOff(std::function<bool()> isBetterElsewhere)
+    {
+        m_isBetterElsewhere = std::move(isBetterElsewhere);
+    }
+
     /// Returns the estimated time to store a job that arrives now.
     Millis expectedDelay(Instant now) const { return m_storeTime.estimate(now); }
 
@@ -65,10 +72,12 @@
     void onBatchAnswered(const Batch &batch, const platform::TransactionResult &result);
     void complete(const PendingJobPtr &pending, StoreOutcome outcome, std::uint64_t version);
     void expireCallers();
+    void handOffQueued();
     void scheduleDeadlineCheck();
 
     platform::TableClient &m_table;
     std::string m_partition;
+    std::function<bool()> m_isBetterElsewhere;
     boost::asio::steady_timer m_retryTimer;
     boost::asio::steady_timer m_deadlineTimer;
     std::map<JobId, PendingJobPtr> m_jobs; ///< Queued or in flight.
--- a/tests/routing/tablespeed_test.cpp
+++ b/tests/routing/tablespeed_test.cpp
@@ -102,10 +102,10 @@
 {
     // Guards against waiting for the end of a transaction of 2.5 s to see that the table is silent.
     speed.onSent(now);
-    CHECK_FALSE(speed.isSlow(now + Millis(399)));
-    CHECK(speed.isSlow(now + Millis(400)));
+    CHECK_FALSE(speed.isSlow(now + TableSpeed::kSlowInFlight - Millis(1)));
+    CHECK(speed.isSlow(now + TableSpeed::kSlowInFlight));
     speed.onFailed(now);
-    CHECK_FALSE(speed.isSlow(now + Millis(400)));
+    CHECK_FALSE(speed.isSlow(now + TableSpeed::kSlowInFlight));
 }
 
 TEST_CASE_METHOD(TableSpeedTest, "TableMonitor_partitionQueueFull_tableIsAvailable", "[slowtable]")
