--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -22,6 +22,7 @@
 constexpr int kNodePortOffset = 20;
 constexpr int kPortsPerNode = 3;
 constexpr int kWorkerPortOffset = 50; // two ports per worker: proxy and server
+constexpr int kPeerPortOffset = 100;
 constexpr const char *kAddress = "127.0.0.1";
 constexpr const char *kSparePool = "pool-spare";
 constexpr Millis kWaveDuration{8000};
@@ -116,6 +117,8 @@
                                          addressAt(nodePort + 1),
                                          "--metrics",
                                          addressAt(nodePort + 2),
+                                         "--peers",
+                                         addressAt(port(kPeerPortOffset + index)),
                                          "--table",
                                          addressAt(port(kTableProxyPortOffset + index))};
         if (settings.hasHosts)
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -28,7 +28,7 @@
 {
     std::string nodeProgram; ///< Path of the fleet node's executable.
     std::string logFolder; ///< Folder for the nodes' logs.
-    std::uint16_t firstPort = 23000; ///< First of 100 consecutive ports.
+    std::uint16_t firstPort = 23000; ///< First of 110 consecutive ports.
     int nodes = 4;
     int workers = 8;
     /// Each worker runs on a host of its own, which the nodes move and maintain in waves.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -113,7 +113,7 @@
         ->required();
     app.add_option("--logs", settings.deployment.logFolder, "Folder for the nodes' logs")
         ->required();
-    app.add_option("--first-port", settings.deployment.firstPort, "First of 100 consecutive ports");
+    app.add_option("--first-port", settings.deployment.firstPort, "First of 110 consecutive ports");
     app.add_option("--nodes", settings.deployment.nodes, "Number of fleet nodes")
         ->check(CLI::Range(1, 10));
     app.add_option("--workers", settings.deployment.workers, "Workers")->check(CLI::Range(2, 24));
