--- a/include/oleanderhall/jobs/storequeue.h
+++ b/include/oleanderhall/jobs/storequeue.h
@@ -57,6 +57,8 @@
     /// Reports the result of the batch in flight. `stored` names its jobs that were found stored.
     void onBatchResult(Result result, std::uint64_t version, const std::set<JobId> &stored,
                        Instant now);
+    /// Refuses all jobs that are certainly not stored, so that another node can store them.
+    void refuseUnsent();
     /// Reports that the row of a job was found, so that the job is stored.
     void onRowFound(JobId id, std::uint64_t version);
     /// Returns what is due. Must be called after each of the other functions, and at least every
--- a/src/jobs/storequeue.cpp
+++ b/src/jobs/storequeue.cpp
@@ -80,6 +80,14 @@
     complete(id, StoreOutcome::AlreadyStored, version);
 }
 
+void StoreQueue::refuseUnsent()
+{
+    for (std::deque<JobId> *queue : {&m_unsent, &m_last}) {
+        for (const JobId id : std::exchange(*queue, {}))
+            complete(id, StoreOutcome::Refused, 0);
+    }
+}
+
 void StoreQueue::onBatchResult(Result result, std::uint64_t version, const std::set<JobId> &stored,
                                Instant now)
 {
--- a/src/node/jobwriter.cpp
+++ b/src/node/jobwriter.cpp
@@ -132,6 +132,9 @@
         }
     }
     m_queue.onBatchResult(resultOf(result.outcome), result.version, stored, now);
+    if (result.outcome == platform::TransactionResult::Outcome::Refused && m_isBetterElsewhere
+        && m_isBetterElsewhere())
+        m_queue.refuseUnsent();
     step();
 }
 
--- a/src/node/jobwriter.h
+++ b/src/node/jobwriter.h
@@ -38,6 +38,13 @@
 
     /// Returns whether the job waits to be stored or is being stored.
     bool contains(JobId id) const { return m_queue.contains(id); }
+    /// Is asked when the table has rejected a batch. If it returns true, queued jobs that are
+    /// certainly not stored end as Refused at once, so that another node can store them.
+    void setHandOff(std::function<bool()> isBetterElsewhere)
+    {
+        m_isBetterElsewhere = std::move(isBetterElsewhere);
+    }
+
     /// Returns the estimated time to store a job that arrives now.
     Millis expectedDelay(Instant now) const { return m_queue.expectedDelay(now); }
 
@@ -57,6 +64,7 @@
     platform::TableClient &m_table;
     TableProbe &m_probe;
     std::string m_partition;
+    std::function<bool()> m_isBetterElsewhere;
     boost::asio::steady_timer m_timer;
     StoreQueue m_queue;
     std::map<JobId, EncodedJob> m_jobs; ///< Those in `m_queue`.
