--- a/src/node/callforwarder.cpp
+++ b/src/node/callforwarder.cpp
@@ -25,8 +25,8 @@
 constexpr int kOutcomeUnknown = 504;
 /// Request header: the call was passed on by a fleet node and must not be passed on again.
 constexpr const char *kForwardedHeader = "Oleanderhall-Forwarded";
-/// Response header: the node hasn't begun with the call, so another one may be tried.
-constexpr const char *kNotBegunHeader = "Oleanderhall-Not-Begun";
+/// Response header: the call has certainly had no effect, and another node may be able to serve it.
+constexpr const char *kNotDoneHeader = "Oleanderhall-Not-Done";
 /// Response header: how many milliseconds the node's latest transaction took.
 constexpr const char *kTableMsHeader = "Oleanderhall-Table-Ms";
 constexpr const char *kRetryAfterSeconds = "1";
@@ -98,6 +98,12 @@
     return nullptr;
 }
 
+/// Returns whether the reply says that the call had no effect because of the table.
+bool isTableRefusal(const Reply &reply)
+{
+    return reply.status == kUnavailable && reply.body.find("\"table_") != std::string::npos;
+}
+
 bool isPost(const HttpRequest &request)
 {
     return request.method() == http::verb::post;
@@ -117,7 +123,7 @@
         return PeerResult::NotSent;
     if (response.outcome == HttpResult::Outcome::Unknown)
         return PeerResult::Lost;
-    return find(response.headers, kNotBegunHeader) ? PeerResult::Refused : PeerResult::Answered;
+    return find(response.headers, kNotDoneHeader) ? PeerResult::Refused : PeerResult::Answered;
 }
 
 const char *resultText(PeerResult result)
@@ -219,9 +225,9 @@
     const ScopedAddition count(m_keptBytes, isKept ? bytes : 0);
     std::string body = isKept ? request.body() : std::string();
     Reply refused = co_await m_answerLocally(request);
-    if (!isKept || refused.status != kUnavailable)
+    if (!isKept || !isTableRefusal(refused))
         co_return refused;
-    // A 503 says that the job isn't stored here, so another node may store it.
+    // The job isn't stored, so another node may store it.
     request.body() = std::move(body);
     const std::optional<Reason> reason = reasonToForward(request, monotonicNow());
     if (!reason)
@@ -237,11 +243,13 @@
         || m_callerCalls + m_peerCalls >= kMaxCallsWithPeers;
     if (isBusy || !hasTable(monotonicNow())) {
         Reply refusal = refuse(kUnavailable, isBusy ? "peer_busy" : "peer_without_table");
-        refusal.headers.emplace_back(kNotBegunHeader, "1");
+        refusal.headers.emplace_back(kNotDoneHeader, "1");
         co_return refusal;
     }
     const ScopedAddition count(m_peerCalls);
     Reply reply = co_await m_answerLocally(request);
+    if (isTableRefusal(reply) && !hasTable(monotonicNow()))
+        reply.headers.emplace_back(kNotDoneHeader, "1");
     if (const auto duration = m_monitor.speed.latestDuration(monotonicNow()))
         reply.headers.emplace_back(kTableMsHeader, std::to_string(duration->count()));
     co_return reply;
--- a/src/node/callforwarder.h
+++ b/src/node/callforwarder.h
@@ -30,8 +30,8 @@
 
     /// Answers a call of a caller.
     boost::asio::awaitable<Reply> answer(HttpRequest &request);
-    /// Answers a call that another node has passed on. Refuses it without beginning with it if this
-    /// node can't use the table or is busy, so that the other node can try a third one.
+    /// Answers a call that another node has passed on. Refuses it at once if this node can't use
+    /// the table or is busy, so that the other node can try a third one.
     boost::asio::awaitable<Reply> answerPeer(HttpRequest &request);
     /// Returns whether another node may be able to store jobs of `partition` that the table has
     /// rejected from this one: the table rejects this node, or is slow and another node writes.
@@ -61,7 +61,7 @@
     boost::asio::awaitable<Reply> answerJob(HttpRequest &request, Instant received);
     /// Returns the node that writes for `partition` if it is another one that takes calls.
     std::optional<Peer> otherWriter(int partition, Instant now) const;
-    /// Returns nothing if no peer has begun with the call.
+    /// Returns nothing if the call certainly has had no effect at any peer.
     boost::asio::awaitable<std::optional<Reply>> forward(HttpRequest &request, Reason reason,
                                                          Instant received);
     std::optional<Peer> choosePeer(const HttpRequest &request, Reason reason,
--- a/src/node/jobwriter.cpp
+++ b/src/node/jobwriter.cpp
@@ -66,6 +66,8 @@
             return;
         m_isDeadlineCheckScheduled = false;
         expireCallers();
+        if (m_isBetterElsewhere && m_isBetterElsewhere())
+            handOffQueued(); // they would wait for a transaction that isn't answered
         scheduleDeadlineCheck();
     });
 }
--- a/src/node/jobwriter.h
+++ b/src/node/jobwriter.h
@@ -41,8 +41,9 @@
     /// may store the same job.
     void store(const JobSpec &job, Instant deadline, Done done);
 
-    /// Is asked when the table has rejected a batch. If it returns true, queued jobs that are
-    /// certainly not stored end as Refused at once, so that another node can store them.
+    /// Is asked when the table has rejected a batch, and regularly while jobs wait. If it returns
+    /// true, queued jobs that are certainly not stored end as Refused at once, so that another node
+    /// can store them.
     void setHandOff(std::function<bool()> isBetterElsewhere)
     {
         m_isBetterElsewhere = std::move(isBetterElsewhere);
--- a/tests/node/callforwarder_test.cpp
+++ b/tests/node/callforwarder_test.cpp
@@ -43,7 +43,7 @@
                       .target = queue.prefix + textOf(id),
                       .headers = {{"Host", queue.host},
                                   {"Content-Type", "application/json"},
-                                  {platform::kDeadlineHeader, "3000"}},
+                                  {platform::kDeadlineHeader, deadlineMs}},
                       .timeout = Millis(4000),
                       .wantsHeaders = true};
         if (!key.empty())
@@ -52,8 +52,8 @@
             sent.body = platform::encodeSubmission(
                 {.id = id, .queue = queue, .steps = {{.count = 1}}});
         for (ForwardingNode *known : {&first, &second})
-            known->view.lastContact = known->tableMode == TableMode::Serve ? monotonicNow()
-                                                                           : Instant();
+            known->view.lastContact = known->monitor.availability.isAvailable() ? monotonicNow()
+                                                                                : Instant();
         std::optional<HttpResult> result;
         node.callers->send(std::move(sent),
                            [&result](HttpResult response) { result = std::move(response); });
@@ -75,6 +75,7 @@
             .id = EntryId(name), .zone = ZoneId("z9"), .address = kDeadNode, .processorCores = 8};
     }
 
+    std::string deadlineMs = "3000"; ///< How long callers wait.
     boost::asio::io_context io{1};
     platform::StandinTable rows{io, 1};
     RequestHandler serveRows = [this](HttpRequest &request) { return rows.handleRequest(request); };
@@ -106,6 +107,29 @@
     CHECK(first.counter("calls_forwarded_no_table_answered_total") == 5);
 }
 
+TEST_CASE_METHOD(CallForwarderTest, "CallForwarder_tableBeginsToReject_waitingJobIsHandedOff",
+                 "[forwarding]")
+{
+    // Guards against jobs that wait until their deadline at a node that has just lost the table.
+    first.tableMode = TableMode::Unavailable;
+    CHECK(post(first, {1}).status == 200);
+    CHECK(second.counter("jobs_accepted_total") == 1);
+    CHECK(accepted() == 1);
+}
+
+TEST_CASE_METHOD(CallForwarderTest, "CallForwarder_jobMayBeStored_isNotHandedOff", "[forwarding]")
+{
+    // Guards against a job whose first transaction takes effect after another node was asked: the
+    // caller would get a 503 of that node for a job that runs.
+    deadlineMs = "900";
+    first.tableMode = TableMode::Reset;
+    boost::asio::steady_timer timer(io, Millis(150));
+    timer.async_wait(
+        [this](const boost::system::error_code &) { first.tableMode = TableMode::Unavailable; });
+    CHECK(post(first, {1}).status == 504);
+    CHECK(second.counter("peer_calls_total") == 0);
+}
+
 TEST_CASE_METHOD(CallForwarderTest, "CallForwarder_tableServesNode_forwardsNothing", "[forwarding]")
 {
     for (std::uint64_t id = 1; id <= 40; ++id)
