--- a/include/oleanderhall/membership/peerlist.h
+++ b/include/oleanderhall/membership/peerlist.h
@@ -16,7 +16,7 @@
 /// The result of a call that was forwarded to a peer.
 enum class PeerResult {
     Answered, ///< The peer handled the call.
-    Refused, ///< The peer didn't begin with the call: it can't use the table either or is busy.
+    Refused, ///< The call had no effect: the peer can't use the table either or is busy.
     NotSent, ///< The peer could not be reached; it has received nothing.
     Lost, ///< The call may have been sent, but no answer came.
 };
