--- a/tests/node/callforwarder_test.cpp
+++ b/tests/node/callforwarder_test.cpp
@@ -210,6 +210,19 @@
     CHECK(second.counter("peer_calls_total") == 1);
 }
 
+TEST_CASE_METHOD(CallForwarderTest, "CallForwarder_peerLosesTable_callIsNotFinallyRefused",
+                 "[forwarding]")
+{
+    // Guards against the final refusal of a call by a peer that has not noticed yet that the table
+    // rejects it, while a third node could serve the call.
+    first.turnAway();
+    second.tableMode = TableMode::Unavailable;
+    CHECK(post(first, {1}).status == 503);
+    CHECK(second.counter("job_refusals_table_refused_total") == 1);
+    CHECK(first.counter("calls_forwarded_no_table_refused_total") == 1);
+    CHECK(first.counter("calls_forwarded_no_table_answered_total") == 0);
+}
+
 TEST_CASE_METHOD(CallForwarderTest, "CallForwarder_staleConfiguration_peerChecksKey",
                  "[forwarding]")
 {
