--- a/src/node/jobwriter.cpp
+++ b/src/node/jobwriter.cpp
@@ -73,6 +73,8 @@
         if (error)
             return;
         m_isStepScheduled = false;
+        if (m_isBetterElsewhere && m_isBetterElsewhere())
+            m_queue.refuseUnsent(); // they would wait for a transaction that isn't answered
         step();
         scheduleStep();
     });
--- a/src/node/jobwriter.h
+++ b/src/node/jobwriter.h
@@ -38,8 +38,9 @@
 
     /// Returns whether the job waits to be stored or is being stored.
     bool contains(JobId id) const { return m_queue.contains(id); }
-    /// Is asked when the table has rejected a batch. If it returns true, queued jobs that are
-    /// certainly not stored end as Refused at once, so that another node can store them.
+    /// Is asked when the table has rejected a batch, and regularly while jobs wait. If it returns
+    /// true, queued jobs that are certainly not stored end as Refused at once, so that another node
+    /// can store them.
     void setHandOff(std::function<bool()> isBetterElsewhere)
     {
         m_isBetterElsewhere = std::move(isBetterElsewhere);
