Keep a node's view of a slow table until the table is fast again

A transaction that ended without an answer left no trace, and the writers reported durations measured before the table became slow. Change: an unanswered transaction of 300 ms and a full queue (which holds one second of transactions) show a slow table by themselves; a reported duration is at most 0.5 s old and never below the wait of a transaction in flight.

--- a/src/node/tablemonitor.cpp
+++ b/src/node/tablemonitor.cpp
@@ -28,7 +28,7 @@
     case TableCall::Result::Failed:
         availability.onFailed();
         if (isTransaction)
-            speed.onFailed(call.sentAt);
+            speed.onFailed(call.sentAt, now);
         return;
     }
 }
--- a/src/routing/tablespeed.cpp
+++ b/src/routing/tablespeed.cpp
@@ -20,7 +20,22 @@
 void TableSpeed::onQueueFull(Instant sentAt, Instant now)
 {
     removeInFlight(sentAt);
-    observe(kSlowFrom, now);
+    enterSlow(now);
+}
+
+void TableSpeed::onFailed(Instant sentAt, Instant now)
+{
+    removeInFlight(sentAt);
+    if (now - sentAt >= kSlowInFlight)
+        enterSlow(now);
+}
+
+void TableSpeed::enterSlow(Instant now)
+{
+    m_isSlow = true;
+    m_slowInARow = kSlowToEnter;
+    m_fastInARow = 0;
+    m_lastSlow = now;
 }
 
 void TableSpeed::observe(Millis duration, Instant now)
@@ -29,7 +44,9 @@
         m_isSlow = false;
         m_slowInARow = 0;
     }
-    if (duration >= kSlowFrom) {
+    if (duration >= kSlowInFlight) {
+        enterSlow(now);
+    } else if (duration >= kSlowFrom) {
         ++m_slowInARow;
         m_fastInARow = 0;
         m_lastSlow = now;
@@ -50,7 +67,14 @@
 
 std::optional<Millis> TableSpeed::latestDuration(Instant now) const
 {
-    return now - m_measuredAt <= kMemory ? m_duration : std::nullopt;
+    std::optional<Millis> result = now - m_measuredAt <= kReportLifetime ? m_duration
+                                                                         : std::nullopt;
+    if (!m_inFlight.empty()) {
+        const auto waiting = std::chrono::duration_cast<Millis>(now - *m_inFlight.begin());
+        if (waiting >= result.value_or(kSlowFrom))
+            result = waiting;
+    }
+    return result;
 }
 
 } // namespace oleanderhall
