--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -17,6 +17,8 @@
 #include "oleanderhall/scheduling/trackedjob.h"
 #include "oleanderhall/scheduling/workerstate.h"
 #include "oleanderhall/scheduling/workerstatus.h"
+#include "oleanderhall/teams/teamconfig.h"
+#include "oleanderhall/teams/teamusage.h"
 
 #include <cstdint>
 #include <map>
@@ -41,6 +43,9 @@
     /// Sets the configuration of the queues unless a later version is known. Jobs of a removed
     /// queue keep the configuration they were accepted with.
     void setQueues(ConfigVersion version, const std::vector<QueueConfig> &queues);
+    /// Sets the configuration of the teams unless a later version is known. Until the first call,
+    /// no task of a team's job starts.
+    void setTeams(ConfigVersion version, const std::vector<TeamConfig> &teams, Instant now);
     /// Sets the complete list of workers from service discovery.
     void setWorkers(const std::vector<WorkerInfo> &workers, Instant now);
     /// Adds a stored job that was accepted at `accepted`, with its recorded progress. An inherited
@@ -63,8 +68,9 @@
     /// an earlier owner may have started waits until this owner has read the runs of every worker
     /// of the first list that has not terminated since.
     void updateHosts(const std::vector<HostInfo> &hosts, Instant requested, Instant now);
-    /// Records that a host command has terminated the worker.
-    void onWorkerTerminated(WorkerId worker, Instant now);
+    /// Records that a host command has terminated the worker, as a list of hosts that was requested
+    /// at `requested` shows.
+    void onWorkerTerminated(WorkerId worker, Instant requested, Instant now);
 
     /// The following functions report the results of actions returned by tick().
     void onStartResult(const StartCommand &command, CallResult result, Instant now);
@@ -98,8 +104,14 @@
     bool mayEndRuns(WorkerId worker, Instant now) const;
     /// Stops long-running tasks of these workers as far as their steps' disruption budgets allow.
     void evacuate(const std::set<WorkerId> &workers, Instant now);
+    /// Stops the tasks of these workers that aren't long-running; they start elsewhere, from their
+    /// last checkpoint.
+    void preempt(const std::set<WorkerId> &workers, Instant now);
     /// Returns the capacity that the work of each pool requires.
     PoolDemands poolDemands(Instant now);
+    /// Returns how long a new job would wait in each pool if it was placed after all waiting ones.
+    /// Pools with room, or without waiting work, are omitted.
+    std::map<PoolId, Millis> poolWaits(Instant now) const;
     /// Sets the workers whose hosts will be maintained soon. Long-running tasks prefer others.
     void setAwaitingMaintenance(std::set<WorkerId> workers)
     {
@@ -128,6 +140,7 @@
         std::vector<WorkerState *> workers;
         std::vector<Candidate> ranked; ///< As of the last ranking; steps without tasks are removed.
         Instant nextRanking;
+        Instant nextCopies; ///< When to look for stragglers again.
     };
 
     /// Where a worker ran when this owner took over.
@@ -146,10 +159,11 @@
     };
 
     // Handling of events.
-    WorkerState *updateCommandedWorker(WorkerId id, CallResult result, Instant now);
-    std::pair<WorkerState *, WorkerRun *> updateCommandedRun(WorkerId id, const TaskId &task,
-                                                             std::int64_t number, CallResult result,
-                                                             Instant now);
+    WorkerState *updateCommandedWorker(WorkerId id, WorkerStartTime started, CallResult result,
+                                       Instant now);
+    template <typename Command>
+    std::pair<WorkerState *, WorkerRun *> updateCommandedRun(const Command &command,
+                                                             CallResult result, Instant now);
     void handleStatus(WorkerState &worker, const WorkerStatus &status, Instant sent, Instant now);
     void handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now);
     void handleEndedRun(WorkerState &worker, const EndedRun &ended, Instant now);
@@ -171,6 +185,13 @@
     const StepSpec *findSpec(const TaskId &id) const;
     void logDecision(Decision decision);
 
+    // Workers that restart under their previous id.
+    static bool isForEarlierIncarnation(const WorkerState &worker, WorkerStartTime started);
+    static bool mayHaveRestarted(const WorkerState &worker, Instant now);
+    bool noteIncarnation(WorkerState &worker, WorkerStartTime started, Instant now);
+    void beginIncarnation(WorkerState &worker, WorkerStartTime started, Instant now);
+    bool haveAllLeasesExpired(const WorkerState &worker, Instant now, Millis slack) const;
+
     // The stages of tick().
     void openOccurrences(std::int64_t wallClockMs);
     void openOccurrence(TrackedJob &job, int number);
@@ -183,6 +204,14 @@
     void writeProgress(Instant now, std::vector<SchedulerAction> &out);
     void expireOldJobs(Instant now);
 
+    // Teams.
+    void countTeamUsage(Instant now);
+    std::map<TeamId, Resources> possiblyRunning() const;
+    std::optional<Resources> unreadCapacity(PoolId pool) const;
+    bool isWithinCap(const TrackedJob &job, const StepSpec &spec, int count, Instant now) const;
+    bool mayRepeatStart(const WorkerRun &run, Instant now);
+    Resources heldBy(const TrackedJob &job) const;
+
     // Placement.
     void place(Instant now, std::vector<SchedulerAction> &out);
     void placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
@@ -202,6 +231,20 @@
                   Instant now, std::vector<SchedulerAction> &out);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
+    bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now) const;
+
+    // Copies of stragglers.
+    static bool allowsCopies(const StepSpec &spec);
+    static bool mayRunTwice(const TrackedJob &job, const StepSpec &spec, const TrackedTask &task);
+    static double typicalRunTimeMs(const WorkerRun &run, const TrackedStep &step);
+    static double excessOf(const WorkerRun &run, const TrackedStep &step, Instant now);
+    static void trackCopy(TrackedTask &task, WorkerRun &run, WorkerId worker);
+    std::optional<Resources> waitingNeeds(const PoolState &pool, Instant now) const;
+    void placeCopies(PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
+    bool placeCopy(const WorkerRun &run, double excess, Instant now,
+                   std::vector<SchedulerAction> &out);
+    void endOtherRun(const TaskId &id, TrackedTask &task, Instant now);
+
     bool isCertainlyReady(const WorkerState &worker, const WorkerRun &run, Instant now) const;
     StepPresence presenceOf(const TaskId &id, WorkerId here, Instant now) const;
     bool areDependenciesDone(const TrackedJob &job, const Occurrence &occurrence, int step) const;
@@ -235,6 +278,11 @@
     std::map<WorkerId, EarlierWorker> m_earlierWorkers;
     std::set<WorkerId> m_awaitingMaintenance;
     std::map<PoolId, ArrivalRate> m_arrivals; ///< Of work, in core-seconds per second.
+    TeamUsage m_teamUsage;
+    bool m_hasTeamJobs = false; ///< A job of a team has been added.
+    /// Jobs of teams that an earlier owner may have started; empty once its runs can't go on.
+    std::vector<JobId> m_possiblyStarted;
+    Instant m_nextPossibleCount;
     TicketCache m_tickets;
     std::set<JobId> m_dirty; ///< Jobs with progress to be recorded.
     JobId m_firstDirty; ///< The next write begins with this job, so that none waits forever.
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -3,7 +3,9 @@
 #include "oleanderhall/scheduling/leaseclock.h"
 #include "oleanderhall/scheduling/workerinfo.h"
 
+#include "oleanderhall/core/ids.h"
 #include "oleanderhall/core/time.h"
+#include "oleanderhall/jobs/resources.h"
 #include "oleanderhall/jobs/taskid.h"
 
 #include <cstdint>
@@ -25,15 +27,21 @@
     std::int64_t run = 0;
     Phase phase = Phase::Starting;
     Resources reservation; ///< Subtracted from the worker's free capacity.
+    TeamId team; ///< Of the job; empty if the job has none or isn't known.
+    Resources need; ///< Counted against the team's cap, also what is not reserved.
     bool usesIdleCores = false; ///< Reserves no cores.
     bool isLongRunning = false;
+    bool allowsCopies = false; ///< Another run of the task may be active at the same time.
+    bool isCopy = false; ///< It was started while another run of the task was active.
     Millis latencyTarget{0};
+    Millis expectedRunTime{0};
     Instant startSent; ///< When the start was first sent.
     Instant runningSince; ///< When the run was first known to be active.
     Instant nextSend; ///< When to send the start or stop, or to repeat it.
     bool isCommandInFlight = false;
     int startAttempts = 0;
     bool mayHaveStarted = false; ///< A start command was not answered.
+    bool isReported = false; ///< A status of the worker's present incarnation listed it as active.
     bool isStopConfirmed = false;
     Instant stopConfirmedAt;
     int progressPercent = 0;
@@ -62,12 +70,14 @@
     Instant listedAt; ///< When this owner first saw that entry.
     HostId host; ///< As of the latest list of hosts that contained the worker; empty before.
     bool isSynced = false; ///< This owner has raised its fencing token and read its runs.
-    bool hasTerminated = false; ///< Another incarnation runs at its address, or its host was
+    bool hasTerminated = false; ///< Another worker runs at its address, or its host was
                                 ///< maintained.
     bool isCordoned = false; ///< Maintenance keeps new tasks off it.
     bool isTerminating = false; ///< A host command that ends all its runs is in flight.
     bool isPollInFlight = false;
     int failedPolls = 0; ///< Number of consecutive polls that failed.
+    Instant restartedAt; ///< When this owner learned of its last restart; the epoch if never.
+    Instant lastAnswer; ///< When the latest status arrived.
     Instant statusSent; ///< When the poll was sent that brought the latest status.
     /// Until then a command that this owner can't follow may end runs. A status whose poll was sent
     /// earlier doesn't show whether they go on.
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -85,7 +85,7 @@
         : m_settings(settings)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
         , m_table(m_io, settings.tableAddress, m_metrics)
-        , m_api(m_io, m_table, m_view, m_metrics)
+        , m_api(m_io, m_table, m_view, m_metrics, settings.teamRateWindow)
         , m_peers(registration())
         , m_members(m_io, m_table, registration(), m_peers, m_metrics)
         , m_forwarder(m_io, m_view, m_peers, m_tableMonitor, m_metrics,
@@ -316,6 +316,8 @@
             for (const QueueLoad &load : m_owner->queueLoads())
                 waiting[load.queue] = web::json::value(load.waitingJobs);
             record["waiting"] = waiting;
+            if (m_view.config && !m_view.config->teams.empty())
+                encodeLoadReport(m_owner->loadReport(monotonicNow()), record);
         }
         return record.serialize();
     }
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -214,7 +214,7 @@
     m_planner.updateHosts(hosts, now, requestedAt);
     for (const WorkerEndVerifier::Verdict &verdict : m_endVerifier.verify(hosts, requestedAt)) {
         if (verdict.hasEnded) {
-            m_scheduler.onWorkerTerminated(verdict.worker, now);
+            m_scheduler.onWorkerTerminated(verdict.worker, requestedAt, now);
             continue;
         }
         logInfo("host_order_was_done_before",
@@ -291,6 +291,7 @@
     m_scheduler.cordon(plan.cordoned);
     m_scheduler.setAwaitingMaintenance(plan.awaitingMaintenance);
     m_scheduler.evacuate(plan.evacuated, now);
+    m_scheduler.preempt(plan.preempted, now);
     recordAndSend(plan.commands, now);
     for (const auto &[wave, isCompleted] : plan.waveStates)
         m_unpublishedWaveStates[wave] = isCompleted;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -52,17 +52,22 @@
                           {"address", info.address}}});
         }
         WorkerState &worker = found->second;
+        worker.isListed = true;
+        if (!noteIncarnation(worker, info.started, now))
+            continue;
         if (worker.info.isDraining != info.isDraining) {
             logDecision({"worker_draining", {{"worker", info.id.name()}}});
         }
+        const WorkerStartTime started = worker.info.started; // the entry may lack it
         worker.info = info;
-        worker.isListed = true;
+        worker.info.started = started;
     }
     std::erase_if(m_workers, [](const auto &entry) {
         return !entry.second.isListed && entry.second.runs.empty()
             && (entry.second.hasTerminated || !entry.second.isSynced);
     });
     groupWorkersByPool();
+    m_nextPossibleCount = {};
     m_needsPlacement = true;
 }
 
@@ -85,6 +90,14 @@
     const auto queue = m_queues.find(job.spec.queue.name);
     if (queue != m_queues.end() && job.spec.config <= m_version)
         job.spec.queue = queue->second;
+    m_hasTeamJobs = m_hasTeamJobs || !job.spec.team.empty();
+    job.inheritedRunning = progress.stillRunning;
+    const bool mayStillRun = isFinal(job.state) ? progress.stillRunning != Resources()
+                                                : job.isInherited && job.isReleased;
+    if (mayStillRun && !job.spec.team.empty()) {
+        m_possiblyStarted.push_back(id);
+        m_nextPossibleCount = {};
+    }
     if (isFinal(job.state)) {
         job.ended = accepted;
         return;
@@ -196,10 +209,10 @@
         found->second.distrustedUntil = std::max(found->second.distrustedUntil, until);
 }
 
-void Scheduler::onWorkerTerminated(WorkerId worker, Instant now)
+void Scheduler::onWorkerTerminated(WorkerId worker, Instant requested, Instant now)
 {
     const auto found = m_workers.find(worker);
-    if (found == m_workers.end())
+    if (found == m_workers.end() || found->second.restartedAt >= requested)
         return;
     found->second.hasTerminated = true;
     dropAllRuns(found->second, "maintenance", now);
@@ -337,8 +350,11 @@
                          .team = job.spec.team,
                          .acceptedMs = job.spec.acceptedMs,
                          .isReleased = job.isReleased};
-    if (isFinal(job.state))
+    if (isFinal(job.state)) {
+        if (!job.spec.team.empty())
+            progress.stillRunning = heldBy(job);
         return progress;
+    }
     for (const Occurrence &occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto &tasks = occurrence.steps[step].tasks;
--- a/src/scheduling/schedulerbudget.cpp
+++ b/src/scheduling/schedulerbudget.cpp
@@ -44,7 +44,7 @@
         const auto index = static_cast<int>(&task - step->tasks.data());
         const TaskId peer{id.job, id.occurrence, id.step, index};
         for (const WorkerRun &run : worker->second.runs) {
-            if (run.task == peer && run.run == task.lastRun
+            if (run.task == peer && run.run == task.currentRun
                 && isCertainlyReady(worker->second, run, now))
                 ++presence.elsewhere;
         }
@@ -73,6 +73,21 @@
     }
 }
 
+void Scheduler::preempt(const std::set<WorkerId> &workers, Instant now)
+{
+    for (const WorkerId id : workers) {
+        const auto found = m_workers.find(id);
+        if (found == m_workers.end())
+            continue;
+        for (WorkerRun &run : found->second.runs) {
+            if (run.isLongRunning || run.phase != WorkerRun::Phase::Running)
+                continue;
+            logDecision({"run_preempted", {{"task", textOf(run.task)}, {"worker", id.name()}}});
+            requestStop(run, now);
+        }
+    }
+}
+
 bool Scheduler::mayInterrupt(WorkerId id, Instant now) const
 {
     const auto found = m_workers.find(id);
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -62,8 +62,13 @@
 
 bool Scheduler::mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const
 {
-    if (task.isDone || task.isPlaced)
-        return false;
+    return !task.isDone && !task.isPlaced && areEarlierRunsKnown(job, task, now);
+}
+
+/// Returns whether no run that an earlier owner may have started is unknown to this owner.
+bool Scheduler::areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task,
+                                    Instant now) const
+{
     return !task.mayRunOnUnsyncedWorker || now - m_termStart >= m_settings.inheritedTaskDelay
         || isSynced(job.spec.queue.pool);
 }
@@ -187,6 +192,7 @@
                 pools.end());
     for (auto pool = pools.begin(); pool != pools.end(); ++pool) {
         placePool(m_pools.at(*pool), now, out);
+        placeCopies(m_pools.at(*pool), now, out);
         if (!m_startWindow.isOpen()) {
             m_firstPool = pool + 1 == pools.end() ? pools.front() : *(pool + 1);
             m_needsPlacement = true;
@@ -217,6 +223,8 @@
             continue;
         pool.ranked[kept++] = candidate;
         TrackedJob &job = m_jobs.at(candidate.job);
+        if (!isWithinCap(job, job.spec.steps[static_cast<std::size_t>(candidate.step)], 1, now))
+            continue;
         if (!job.isReleaseRecorded) {
             // Releases the next jobs before there is capacity for them, because they can't start
             // until the release is durable.
@@ -313,6 +321,9 @@
     TrackedStep &trackedStep = occurrence.steps[static_cast<std::size_t>(step)];
     if (trackedStep.placedTasks > 0)
         return; // all tasks of a gang start together, after every earlier run has ended
+    if (!isWithinCap(job, job.spec.steps[static_cast<std::size_t>(step)],
+                     static_cast<int>(trackedStep.tasks.size()), now))
+        return;
     std::int64_t next = trackedStep.lastGangRun;
     std::string checkpoint;
     for (const TrackedTask &task : trackedStep.tasks) {
@@ -336,6 +347,7 @@
                 const WorkerRun ended = *placed;
                 removeRun(holder, static_cast<std::size_t>(placed - holder.runs.data()));
                 unplace(ended, now);
+                m_teamUsage.removeRunning(ended.team, ended.need);
                 m_startWindow.onWithdrawn();
             }
             m_needsPlacement = false;
@@ -351,6 +363,8 @@
                                      const TrackedTask &task, Instant now)
 {
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
+    if (!isWithinCap(job, spec, 1, now))
+        return nullptr;
     Resources need = spec.need;
     if (spec.usesIdleCores)
         need.milliCores = 0;
@@ -360,6 +374,7 @@
         WorkerState &worker = *candidate;
         const WorkerId id = worker.info.id;
         if (!worker.acceptsNewTasks(now) || !need.fitsInto(worker.freeCapacity())
+            || (task.isPlaced && id == task.worker) // a copy runs elsewhere
             || (!spec.requiredLabel.empty() && !worker.info.hasLabel(spec.requiredLabel)))
             continue;
         if (job.spec.queue.advice
@@ -415,17 +430,27 @@
     run.reservation = spec.need;
     if (spec.usesIdleCores)
         run.reservation.milliCores = 0;
+    run.team = job.spec.team;
+    run.need = spec.need;
+    m_teamUsage.addRunning(run.team, run.need);
     run.usesIdleCores = spec.usesIdleCores;
     run.isLongRunning = spec.isLongRunning;
     run.latencyTarget = spec.latencyTarget;
     run.startSent = now;
     run.startAttempts = 1;
     run.isCommandInFlight = true;
-    task.isPlaced = true;
+    run.allowsCopies = allowsCopies(spec);
+    run.expectedRunTime = m_runTimes.expected(job.spec.queue.name, spec);
+    if (task.isPlaced) {
+        trackCopy(task, run, worker.info.id);
+    } else {
+        task.isPlaced = true;
+        task.worker = worker.info.id;
+        task.currentRun = number;
+        task.lastRun = number;
+        ++step.placedTasks;
+    }
     task.mayRunOnUnsyncedWorker = false;
-    task.worker = worker.info.id;
-    task.lastRun = number;
-    ++step.placedTasks;
     worker.used += run.reservation;
     if (worker.runs.empty())
         worker.nextPoll = std::max(worker.nextPoll, now + m_settings.pollSpacing);
@@ -448,6 +473,7 @@
                                          const WorkerRun &run, Instant now)
 {
     StartCommand command{.worker = worker.info.id,
+                         .started = worker.info.started,
                          .task = run.task,
                          .run = run.run,
                          .payload = job.spec.payload,
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -27,7 +27,9 @@
     if (!worker.isSynced) {
         worker.isSynced = true;
         // An earlier owner may have extended leases until now.
-        worker.clock.recordGranted(status.clock + m_settings.workerLease);
+        worker.clock.recordGranted(status.clock
+                                   + (worker.restartedAt == Instant{} ? m_settings.workerLease
+                                                                      : m_settings.maxWorkerLease));
         // A run that the earlier owner has stopped is listed until the stop is complete.
         distrustRuns(worker.info.id, now + m_settings.stopTimeout);
         m_needsPlacement = true;
@@ -68,6 +70,7 @@
             known->runningSince = now;
             known->lastProgress = now;
         }
+        known->isReported = true;
         if (reported.progressPercent != known->progressPercent)
             known->lastProgress = now;
         known->progressPercent = reported.progressPercent;
@@ -80,30 +83,42 @@
     TrackedTask *task = findTask(reported.task);
     WorkerRun run{.task = reported.task, .run = reported.run};
     run.phase = WorkerRun::Phase::Running;
+    run.isReported = true;
     run.runningSince = now;
     run.lastProgress = now;
     run.progressPercent = reported.progressPercent;
     run.checkpoint = reported.checkpoint;
     run.recentLoad = reported.recentLoad;
     if (spec) {
+        if (job != m_jobs.end())
+            run.expectedRunTime = m_runTimes.expected(job->second.spec.queue.name, *spec);
         run.reservation = spec->need;
         run.usesIdleCores = spec->usesIdleCores;
         run.isLongRunning = spec->isLongRunning;
         run.latencyTarget = spec->latencyTarget;
+        run.allowsCopies = allowsCopies(*spec);
         if (run.usesIdleCores)
             run.reservation.milliCores = 0;
     }
+    if (job != m_jobs.end()) {
+        run.team = job->second.spec.team;
+        run.need = spec ? spec->need : job->second.inheritedRunning;
+    }
     const bool isWanted = task && job != m_jobs.end() && !isFinal(job->second.state)
         && !task->isDone && !task->isPlaced && !task->hasEnded(reported.run);
     if (isWanted) {
         task->isPlaced = true;
         task->worker = worker.info.id;
+        task->currentRun = reported.run;
         task->lastRun = std::max(task->lastRun, reported.run);
         TrackedStep *step = findStep(reported.task);
         ++step->placedTasks;
         step->lastGangRun = std::max(step->lastGangRun, reported.run);
         if (job->second.state == JobState::Queued)
             job->second.state = JobState::Running;
+    } else if (task && spec && job != m_jobs.end() && !task->hasEnded(reported.run)
+               && task->worker != worker.info.id && mayRunTwice(job->second, *spec, *task)) {
+        trackCopy(*task, run, worker.info.id);
     } else {
         logDecision({"stray_run_stopped",
                      {{"task", textOf(reported.task)},
@@ -154,17 +169,22 @@
                 ++step.doneTasks;
             }
         }
-        if (task->isPlaced) {
+        if (spec.isGang && task->isPlaced) {
             for (auto &[id, other] : m_workers) {
                 for (WorkerRun &run : other.runs) {
                     if (run.task == ended.task)
                         requestStop(run, now);
                 }
             }
+        } else {
+            endOtherRun(ended.task, *task, now);
+        }
+        if (runningSince != Instant{}) {
+            const auto runTime = std::chrono::duration_cast<Millis>(now - runningSince);
+            m_runTimes.observe(job.spec.queue.name, spec.estimate, runTime);
+            step.totalRunTimeMs += static_cast<double>(runTime.count());
+            ++step.timedTasks;
         }
-        if (runningSince != Instant{})
-            m_runTimes.observe(job.spec.queue.name, spec.estimate,
-                               std::chrono::duration_cast<Millis>(now - runningSince));
         worker.lastFailedJob = {};
         worker.timesAvoided = 0;
         m_needsPlacement = true;
--- a/tests/scheduling/scheduler_property_test.cpp
+++ b/tests/scheduling/scheduler_property_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <array>
 #include <random>
 
 using namespace oleanderhall;
@@ -16,6 +17,10 @@
 constexpr Millis kResponseTime{2};
 constexpr int kSteps = 2500; // 25 s
 constexpr int kWorkers = 5;
+// Commands are executed at most this long after a cap was lowered.
+constexpr Millis kLongestCommandDelay{6300};
+/// How long a superseded owner polls workers.
+constexpr Millis kPollLease{3000};
 const char *const kPool = "pool";
 const char *const kOtherPool = "other";
 
@@ -39,13 +44,18 @@
 class Simulation
 {
 public:
-    explicit Simulation(unsigned seed)
+    /// With `hasTeams`, jobs belong to teams whose caps are exceeded by the load and change.
+    explicit Simulation(unsigned seed, bool hasTeams = false)
         : m_random(seed)
+        , m_hasTeams(hasTeams)
     {
+        if (hasTeams)
+            changeCaps();
         for (int index = 0; index < kWorkers; ++index) {
             const std::string id = "w" + std::to_string(index);
-            m_workers[WorkerId(id)] = FakeWorker(
-                makeWorker(id, index == 0 ? kOtherPool : kPool, 4000), Millis(index * 1000));
+            WorkerInfo worker = makeWorker(id, index == 0 ? kOtherPool : kPool, 4000);
+            worker.started = {1};
+            m_workers[WorkerId(id)] = FakeWorker(std::move(worker), Millis(index * 1000));
         }
     }
 
@@ -60,6 +70,8 @@
                 for (const EndedRun &entry : worker.ended) {
                     if (entry.runOutcome == RunOutcome::Done)
                         m_completedTasks.insert(entry.task);
+                    if (entry.runOutcome == RunOutcome::Failed)
+                        noteFailure(entry);
                 }
             }
             runScheduledCalls();
@@ -70,6 +82,7 @@
 
     std::vector<std::string> violations;
     int starts = 0;
+    int copies = 0;
 
 private:
     bool chance(double probability)
@@ -80,18 +93,61 @@
 
     void injectEvents(int step)
     {
-        if (step < kSteps / 2 && chance(0.02))
+        if (step < kSteps / 2 && chance(m_hasTeams ? 0.06 : 0.02))
             submit();
         if (chance(0.003) && !m_store.empty())
             cancelOne();
         if (chance(0.002))
             takeOver();
+        if (m_hasTeams && chance(0.005))
+            changeCaps();
         for (auto &[id, worker] : m_workers) {
             if (chance(worker.isReachable ? 0.0007 : 0.005))
                 worker.isReachable = !worker.isReachable;
+            if (mayRestart() && chance(0.0005))
+                restart(worker);
         }
     }
 
+    /// No process restarts while a superseded owner may still send commands: a new process knows no
+    /// fencing token, and the table's lease prevents such an overlap.
+    bool mayRestart() const
+    {
+        return std::all_of(m_owners.begin(), m_owners.end(), [this](const auto &owner) {
+            return owner->isCurrent || m_now > owner->supersededAt + kPollLease;
+        });
+    }
+
+    void noteFailure(const EndedRun &entry)
+    {
+        std::set<std::int64_t> &runs = m_failedRuns[entry.task];
+        const bool isNew = runs.insert(entry.run).second;
+        const auto limit = static_cast<std::size_t>(
+            m_store.at(entry.task.job).spec.queue.maxAttempts);
+        if (isNew && runs.size() > limit)
+            violations.push_back(textOf(entry.task) + ": more runs failed than are allowed");
+    }
+
+    void restart(FakeWorker &worker)
+    {
+        for (const EndedRun &entry : worker.ended)
+            m_failedRuns[entry.task].erase(entry.run); // nobody may have read it
+        worker.restart(m_now);
+        worker.isReachable = true;
+        at(m_now + Millis(pick(0, 1000)), [this] {
+            for (auto &owner : m_owners)
+                owner->scheduler->setWorkers(workerInfos(), m_now);
+        });
+    }
+
+    std::vector<WorkerInfo> workerInfos() const
+    {
+        std::vector<WorkerInfo> infos;
+        for (const auto &[id, worker] : m_workers)
+            infos.push_back(worker.info);
+        return infos;
+    }
+
     void submit()
     {
         std::vector<StepSpec> steps;
@@ -101,15 +157,70 @@
             if (index > 0)
                 after.push_back(index - 1);
             steps.push_back(makeStep(pick(1, 4), Millis(pick(50, 800)), after));
+            steps.back().allowsSpeculation = chance(0.4);
         }
-        Stored stored{.spec = makeJob(++m_lastJob, kPool, std::move(steps))};
+        const char *const pool = m_hasTeams && chance(0.2) ? kOtherPool : kPool;
+        Stored stored{.spec = makeJob(++m_lastJob, pool, std::move(steps))};
+        if (m_hasTeams)
+            stored.spec.team = m_teams[static_cast<std::size_t>(pick(0, 1))].id;
         stored.progress.id = stored.spec.id;
+        stored.progress.team = stored.spec.team;
         stored.progress.isReleased = chance(0.5);
         m_store[stored.spec.id] = stored;
         for (auto &owner : m_owners)
             owner->scheduler->addJob(stored.spec, stored.progress, false, m_now);
     }
 
+    /// Changes the caps of all teams in a new version of the configuration.
+    void changeCaps()
+    {
+        for (std::size_t index = 0; index < m_teams.size(); ++index) {
+            m_teams[index].maxRunning = {.milliCores = 1000 * pick(1, 5),
+                                         .memoryMb = chance(0.5) ? 0 : 100 * pick(1, 5)};
+            m_caps[index].emplace_back(m_now, m_teams[index].maxRunning);
+        }
+        m_version = m_version.next();
+        for (auto &owner : m_owners)
+            owner->scheduler->setTeams(m_version, m_teams, m_now);
+    }
+
+    /// Records a violation if the team of `task` has more running than the highest cap that was in
+    /// force when the start may have been decided, and one task more.
+    void checkCap(const TaskId &task)
+    {
+        const JobSpec &job = m_store.at(task.job).spec;
+        Resources sum;
+        for (const auto &[id, worker] : m_workers) {
+            for (const FakeRun &run : worker.running) {
+                const JobSpec &other = m_store.at(run.task.job).spec;
+                if (other.team == job.team)
+                    sum += other.steps[static_cast<std::size_t>(run.task.step)].need;
+            }
+        }
+        const std::size_t team = job.team == m_teams[0].id ? 0 : 1;
+        const auto &caps = m_caps[team];
+        Resources highest;
+        for (std::size_t index = 0; index < caps.size(); ++index) {
+            const bool isInForce = index + 1 == caps.size()
+                || m_now - caps[index + 1].first < kLongestCommandDelay;
+            if (!isInForce)
+                continue;
+            const Resources &cap = caps[index].second;
+            constexpr std::int64_t kNoLimit = 1'000'000;
+            highest.milliCores = std::max(highest.milliCores, cap.milliCores);
+            highest.memoryMb = std::max(highest.memoryMb,
+                                        cap.memoryMb == 0 ? kNoLimit : cap.memoryMb);
+        }
+        if (!sum.fitsInto(highest))
+            violations.push_back(
+                textOf(task) + ": team " + job.team.name() + " runs "
+                + std::to_string(sum.milliCores) + " millicores and " + std::to_string(sum.memoryMb)
+                + " MB, its highest cap is " + std::to_string(highest.milliCores) + " and "
+                + std::to_string(highest.memoryMb) + ", "
+                + std::to_string(std::chrono::duration_cast<Millis>(m_now - m_lastTakeOver).count())
+                + " ms after the take-over");
+    }
+
     void cancelOne()
     {
         auto chosen = std::next(m_store.begin(), pick(0, static_cast<int>(m_store.size()) - 1));
@@ -135,16 +246,16 @@
         auto owner = std::make_unique<Owner>();
         owner->token = ++m_token;
         owner->scheduler = std::make_unique<Scheduler>(SchedulerSettings{}, m_token - 1, m_now);
-        std::vector<WorkerInfo> infos;
         std::vector<HostInfo> hosts;
         for (const auto &[id, worker] : m_workers) {
-            infos.push_back(worker.info);
             hosts.push_back({.id = HostId("host of " + id.name()),
                              .pool = worker.info.pool,
                              .state = HostInfo::State::Ready,
                              .worker = id});
         }
-        owner->scheduler->setWorkers(infos, m_now);
+        if (m_hasTeams)
+            owner->scheduler->setTeams(m_version, m_teams, m_now);
+        owner->scheduler->setWorkers(workerInfos(), m_now);
         owner->scheduler->updateHosts(hosts, m_now, m_now);
         for (const auto &[id, stored] : m_store) {
             owner->scheduler->addJob(stored.spec, stored.progress, true, m_now);
@@ -160,10 +271,13 @@
         // A superseded owner stops sending commands within its own lease, and stops polling a
         // little later.
         constexpr Millis kCommandLease{1500};
-        constexpr Millis kPollLease{3000};
         if (!owner.isCurrent && m_now > owner.supersededAt + kPollLease)
             return;
-        const bool maySendCommands = owner.isCurrent || m_now < owner.supersededAt + kCommandLease;
+        // Caps rest on Ownership, which ends the right to send commands before the next take-over:
+        // a new owner can't foresee which jobs accepted later an earlier one would start. Commands
+        // that were sent before may be executed later.
+        const Millis commandLease = m_hasTeams ? Millis(0) : kCommandLease;
+        const bool maySendCommands = owner.isCurrent || m_now < owner.supersededAt + commandLease;
         for (SchedulerAction &action : owner.scheduler->tick(m_now, 0, maySendCommands))
             std::visit([&](auto &concrete) { send(owner, concrete); }, action);
         owner.scheduler->takeDecisions();
@@ -226,11 +340,14 @@
             execute(worker);
             break;
         case Delivery::Late:
-            at(m_now + Millis(pick(500, 6000)), [this, &worker, execute] {
-                m_isExecutedLate = true;
-                execute(worker);
-                m_isExecutedLate = false;
-            });
+            at(m_now + Millis(pick(500, 6000)),
+               [this, &worker, execute, process = worker.info.started] {
+                   if (worker.info.started != process)
+                       return; // its connection ended with the process
+                   m_isExecutedLate = true;
+                   execute(worker);
+                   m_isExecutedLate = false;
+               });
             break;
         case Delivery::RequestLost:
             break;
@@ -308,15 +425,23 @@
         // Some jobs can never succeed, and other tasks fail at random.
         const bool neverSucceeds = command.task.job.value % 9 == 0 && command.task.index == 0;
         const bool fails = neverSucceeds || chance(0.03);
-        const Millis length(pick(50, 900));
+        constexpr int kSlowWorkerFactor = 5;
+        const bool isSlow = worker.info.id == WorkerId("w1");
+        const Millis length(pick(50, 900) * (isSlow ? kSlowWorkerFactor : 1));
         worker.needs[command.task] = {.milliCores = 1000};
         const CallResult result = worker.start(command, token, m_now, m_now + length,
                                                fails ? RunOutcome::Failed : RunOutcome::Done);
         if (result != CallResult::Ok || wasThere)
             return result;
         ++starts;
+        const bool mayBeCopied = stored->second.spec
+                                     .steps[static_cast<std::size_t>(command.task.step)]
+                                     .allowsSpeculation;
         for (const auto &[other, peer] : m_workers) {
-            if (other != worker.info.id && peer.runs(command.task))
+            if (other == worker.info.id || !peer.runs(command.task))
+                continue;
+            copies += mayBeCopied ? 1 : 0;
+            if (!mayBeCopied)
                 violations.push_back(
                     id + ": started while another worker has run "
                     + std::to_string(peer.runOf(command.task))
@@ -328,7 +453,9 @@
         }
         if (worker.used().milliCores > worker.info.capacity.milliCores)
             violations.push_back(id + ": exceeds the capacity of the worker");
-        if (worker.info.pool != PoolId(kPool))
+        if (m_hasTeams)
+            checkCap(command.task);
+        if (worker.info.pool != stored->second.spec.queue.pool)
             violations.push_back(id + ": started on a worker of another pool");
         if (m_recordedOutcomes[command.task].contains(RunOutcome::Done))
             violations.push_back(id + ": started after its completion was recorded");
@@ -356,12 +483,17 @@
     }
 
     std::mt19937 m_random;
+    bool m_hasTeams = false;
+    std::vector<TeamConfig> m_teams{{.id = TeamId("a")}, {.id = TeamId("b")}};
+    std::array<std::vector<std::pair<Instant, Resources>>, 2> m_caps; ///< Since when, by team.
+    ConfigVersion m_version;
     Instant m_now{std::chrono::hours(1)};
     std::map<WorkerId, FakeWorker> m_workers;
     std::map<JobId, Stored> m_store;
     std::map<JobId, Instant> m_cancelled;
     std::map<TaskId, std::set<RunOutcome>> m_recordedOutcomes;
     std::map<TaskId, int> m_recordedFailures;
+    std::map<TaskId, std::set<std::int64_t>> m_failedRuns;
     std::set<TaskId> m_completedTasks;
     std::multimap<Instant, std::pair<std::int64_t, std::function<void(Scheduler &)>>>
         m_scheduledCalls;
@@ -377,10 +509,29 @@
 TEST_CASE("Scheduler_commandsLostOrLateAndOwnersOverlap_everyStartIsAllowed", "[scheduler]")
 {
     int starts = 0;
+    int copies = 0;
     const bool holds = rc::check("no start breaks a rule", [&] {
         Simulation simulation(*rc::gen::arbitrary<unsigned>());
         simulation.simulate();
         starts += simulation.starts;
+        copies += simulation.copies;
+        for (const std::string &violation : simulation.violations)
+            RC_LOG() << violation << "\n";
+        RC_ASSERT(simulation.violations.empty());
+    });
+    CHECK(holds);
+    CHECK(starts > 1000);
+    CHECK(copies > 100);
+}
+
+TEST_CASE("Scheduler_capsChangeAndOwnersOverlap_noStartExceedsACap", "[scheduler][teams]")
+{
+    // Guards against owners that don't count what an earlier owner may have started.
+    int starts = 0;
+    const bool holds = rc::check("no start exceeds a cap", [&] {
+        Simulation simulation(*rc::gen::arbitrary<unsigned>(), true);
+        simulation.simulate();
+        starts += simulation.starts;
         for (const std::string &violation : simulation.violations)
             RC_LOG() << violation << "\n";
         RC_ASSERT(simulation.violations.empty());
--- a/tests/support/forwardingnode.h
+++ b/tests/support/forwardingnode.h
@@ -21,6 +21,8 @@
 /// How the table service treats one node.
 enum class TableMode { Serve, Unavailable, TooManyRequests, Reset, Silent };
 
+inline constexpr Millis kTeamRateWindow{5000}; // its teams have no keys, so any will do
+
 /// The parts of a fleet node that answer calls, on loopback ports of its own: `port` serves
 /// callers, the next one peers, and the third one passes the node's calls on to
 /// `serveTable`.
@@ -36,7 +38,7 @@
                .processorCores = 1}
         , peers(peer)
         , table(io, "127.0.0.1:" + std::to_string(port + 2), metrics)
-        , api(io, table, view, metrics)
+        , api(io, table, view, metrics, kTeamRateWindow)
         , forwarder(io, view, peers, monitor, metrics,
                     [this](HttpRequest &request) { return api.answer(request); })
         , callers(std::make_shared<HttpClient>(io, "127.0.0.1:" + std::to_string(port), 400))
