Take a table that has stopped answering for one that this node can't use

Change: CallForwarder asks CallerApi whether its probe of the table counts it as silent; calls then go to any peer, and peers in that state refuse them so that another one is tried.

--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -32,6 +32,11 @@
     /// Lets jobs of a partition that the table has rejected be refused at once while
     /// `isBetterElsewhere` returns true for the partition; see JobWriter::setHandOff().
     void setHandOff(const std::function<bool(int partition)> &isBetterElsewhere);
+    /// Returns whether the table has stopped answering this node's calls.
+    bool isTableSilent(Instant now) const
+    {
+        return m_probe.stage(now) == TableSilence::Stage::Silent;
+    }
 
 private:
     boost::asio::awaitable<Reply> route(HttpRequest &request);
--- a/src/node/callforwarder.cpp
+++ b/src/node/callforwarder.cpp
@@ -188,7 +188,8 @@
 
 bool CallForwarder::hasTable(Instant now) const
 {
-    return m_view.isTableReachable(now) && m_monitor.availability.isAvailable();
+    return m_view.isTableReachable(now) && m_monitor.availability.isAvailable()
+        && !m_isTableSilent(now);
 }
 
 bool CallForwarder::isTableSlow(Instant now)
--- a/src/node/callforwarder.h
+++ b/src/node/callforwarder.h
@@ -8,6 +8,7 @@
 
 #include "oleanderhall/membership/peerlist.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,6 +37,11 @@
     /// Returns whether another node may be able to store jobs of `partition` that the table has
     /// rejected from this one: the table rejects this node, or is slow and another node writes.
     bool isBetterElsewhere(int partition);
+    /// Sets what tells whether the table has stopped answering this node's calls.
+    void setSilenceTest(std::function<bool(Instant)> isTableSilent)
+    {
+        m_isTableSilent = std::move(isTableSilent);
+    }
 
 private:
     enum class Reason { NoTable, StaleConfiguration, SlowTable };
@@ -78,6 +84,7 @@
     TableMonitor &m_monitor;
     Metrics &m_metrics;
     RequestHandler m_answerLocally;
+    std::function<bool(Instant)> m_isTableSilent = [](Instant) { return false; };
     std::map<std::string, Link> m_links; ///< By address.
     int m_callerCalls = 0; ///< Calls of callers in flight.
     int m_peerCalls = 0; ///< Calls from other nodes in flight.
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -100,6 +100,7 @@
         });
         m_api.setHandOff(
             [this](int partition) { return m_forwarder.isBetterElsewhere(partition); });
+        m_forwarder.setSilenceTest([this](Instant now) { return m_api.isTableSilent(now); });
     }
 
     int run()
--- a/tests/support/forwardingnode.h
+++ b/tests/support/forwardingnode.h
@@ -46,6 +46,7 @@
         table.setObserver(
             [this](const platform::TableCall &call) { monitor.observe(call, monotonicNow()); });
         api.setHandOff([this](int partition) { return forwarder.isBetterElsewhere(partition); });
+        forwarder.setSilenceTest([this](Instant now) { return api.isTableSilent(now); });
         serve(port, [this](HttpRequest &request) { return forwarder.answer(request); });
         serve(port + 1, [this](HttpRequest &request) { return answerPeer(request); });
         serve(port + 2, [this](HttpRequest &request) { return answerTableCall(request); });
