--- a/include/oleanderhall/jobs/tablesilence.h
+++ b/include/oleanderhall/jobs/tablesilence.h
@@ -19,12 +19,15 @@
     };
 
     /// Records that a call was sent at `now`.
-    void onSent(Instant now) { m_open.insert(now); }
+    void onSent(Instant now);
     /// Records at `now` the answer, also a refusal, to the call that was sent at `sentAt`.
     void onAnswered(Instant sentAt, Instant now);
     /// Records that the call that was sent at `sentAt` ended without an answer.
     void onUnanswered(Instant sentAt);
 
+    /// Must be called before stage(), and every 50 ms while calls are open. Longer times between
+    /// two calls don't count as silence: this process was paused and has read no answers.
+    void observe(Instant now);
     Stage stage(Instant now) const;
     /// Returns whether a call waits for its answer, or the last one ended without an answer.
     bool hasUnansweredCalls() const { return !m_open.empty() || m_unansweredSince != Instant(); }
@@ -35,6 +38,8 @@
     std::multiset<Instant> m_open; ///< When the calls that wait for an answer were sent.
     Instant m_unansweredSince{}; ///< The first call that ended without one since the last answer.
     Instant m_lastAnswer{};
+    Instant m_observed{}; ///< When observe() was last called.
+    Instant m_lastPause{}; ///< When the last pause of this process ended.
     Millis m_usualDuration{0}; ///< Halved with each faster answer.
 };
 
--- a/src/jobs/tablesilence.cpp
+++ b/src/jobs/tablesilence.cpp
@@ -15,8 +15,25 @@
 // A partition refuses transactions once those in its queue take more than 1 s.
 constexpr Millis kMaxSilenceTime{1500};
 
+// Between two observations; a small host may be a few times later than every 50 ms.
+constexpr Millis kMaxObservationGap{250};
+
 } // namespace
 
+void TableSilence::onSent(Instant now)
+{
+    if (!hasUnansweredCalls())
+        m_observed = now; // nothing was observed before
+    m_open.insert(now);
+}
+
+void TableSilence::observe(Instant now)
+{
+    if (now - m_observed > kMaxObservationGap)
+        m_lastPause = now;
+    m_observed = now;
+}
+
 void TableSilence::close(Instant sentAt)
 {
     const auto call = m_open.find(sentAt);
@@ -48,7 +65,7 @@
     Instant oldest = m_unansweredSince == Instant() ? now : m_unansweredSince;
     if (!m_open.empty())
         oldest = std::min(oldest, *m_open.begin());
-    const Instant::duration quiet = now - std::max(oldest, m_lastAnswer);
+    const Instant::duration quiet = now - std::max({oldest, m_lastAnswer, m_lastPause});
     const Millis expected = kDoubtfulDurations * m_usualDuration;
     if (quiet >= std::clamp(expected, kMinSilenceTime, kMaxSilenceTime))
         return Stage::Silent;
--- a/src/node/tableprobe.cpp
+++ b/src/node/tableprobe.cpp
@@ -46,12 +46,12 @@
 void TableProbe::check()
 {
     const Instant now = monotonicNow();
-    const TableSilence::Stage stage = m_silence.stage(now);
-    const bool isSilent = stage == TableSilence::Stage::Silent;
+    const TableSilence::Stage current = stage(now);
+    const bool isSilent = current == TableSilence::Stage::Silent;
     if (isSilent && m_loggedStage != TableSilence::Stage::Silent)
         logWarning("table_silent");
-    m_loggedStage = isSilent ? stage : m_loggedStage;
-    if (stage != TableSilence::Stage::Answering && now >= m_nextProbe)
+    m_loggedStage = isSilent ? current : m_loggedStage;
+    if (current != TableSilence::Stage::Answering && now >= m_nextProbe)
         sendProbe(now);
 }
 
--- a/src/node/tableprobe.h
+++ b/src/node/tableprobe.h
@@ -21,7 +21,11 @@
     void onAnswered(Instant sentAt, Instant now) { m_silence.onAnswered(sentAt, now); }
     void onUnanswered(Instant sentAt) { m_silence.onUnanswered(sentAt); }
 
-    TableSilence::Stage stage(Instant now) const { return m_silence.stage(now); }
+    TableSilence::Stage stage(Instant now)
+    {
+        m_silence.observe(now);
+        return m_silence.stage(now);
+    }
 
 private:
     void scheduleCheck();
--- a/tests/support/admissionworld.h
+++ b/tests/support/admissionworld.h
@@ -24,6 +24,7 @@
         double callsPerSecond = 0; ///< New calls, without retries.
         double due = 0;
         int calls = 0;
+        int retries = 0;
         int refusals = 0;
         int givenUp = 0; ///< Calls that were refused at every attempt.
         std::vector<Millis> waits; ///< Of started jobs, from acceptance.
@@ -58,6 +59,7 @@
             while (!m_retries.empty() && m_retries.begin()->first <= now) {
                 const auto [team, attempts] = m_retries.begin()->second;
                 m_retries.erase(m_retries.begin());
+                ++teams[team].retries;
                 ++returnsPer250Ms[static_cast<int>(now.time_since_epoch() / Millis(250))];
                 call(team, attempts);
             }
--- a/tests/support/storeworld.h
+++ b/tests/support/storeworld.h
@@ -81,6 +81,7 @@
             }
             if (now.time_since_epoch() % StoreQueue::kTickInterval == Millis(0)) {
                 for (Host &host : m_hosts) {
+                    host.silence.observe(now);
                     probe(host);
                     for (std::size_t partition = 0; partition < m_freeAt.size(); ++partition)
                         step(host, partition);
--- a/tests/teams/admissionpolicy_test.cpp
+++ b/tests/teams/admissionpolicy_test.cpp
@@ -3,6 +3,7 @@
 #include "../support/admissionworld.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace oleanderhall;
 using namespace oleanderhall::test;
@@ -156,3 +157,22 @@
     CHECK(refusals <= calls / 50);
     CHECK(world.idleStarts <= 20 * 200 / 20);
 }
+
+TEST_CASE("AdmissionPolicy_anySteadyFlood_isHeldNearTheWeight", "[teams]")
+{
+    CHECK(rc::check("accepted jobs a second stay near the weight", [] {
+        const int hosts = *rc::gen::inRange(1, 40);
+        const double weight = *rc::gen::inRange(2, 60);
+        const double flood = weight * *rc::gen::inRange(3, 8);
+        AdmissionWorld world(hosts, weight);
+        world.teams = {{.id = TeamId("flood"), .weight = weight, .callsPerSecond = flood}};
+        world.run(Millis(10000));
+        const AdmissionWorld::Team &team = world.teams.front();
+        const int before = team.calls + team.retries - team.refusals;
+        world.run(Millis(10000));
+        const double accepted = (team.calls + team.retries - team.refusals - before) / 10.0;
+        RC_LOG() << hosts << " hosts, weight " << weight << ", accepted " << accepted;
+        RC_ASSERT(accepted >= 0.7 * weight);
+        RC_ASSERT(accepted <= 2 * weight + 1);
+    }));
+}
