Keep the work of workers that are silent for some seconds or answer late

Cause: every poll had to be answered within 0.5 s, so a worker whose answers took longer lost its lease and its work. With lost answers for 6 s, the lease ended in one phase of the polls.

Change: after three failed polls a worker has 2.5 s to answer. A refused connection alone proves nothing, as a cut link refuses connections, too.

--- a/include/oleanderhall/scheduling/scheduleraction.h
+++ b/include/oleanderhall/scheduling/scheduleraction.h
@@ -49,6 +49,7 @@
     WorkerStartTime started; ///< Of the incarnation that it is meant for.
     std::int64_t acknowledgedEnd = 0; ///< The worker may discard ended runs up to this sequence.
     Millis leaseExpiry{0}; ///< On the worker's clock; 0 leaves the lease unchanged.
+    Millis answerTime{500}; ///< How long the worker may take to answer beyond `maxWait`.
     Millis maxWait{0}; ///< Long poll: the worker may delay its answer until a run ends.
 };
 
--- a/include/oleanderhall/scheduling/schedulersettings.h
+++ b/include/oleanderhall/scheduling/schedulersettings.h
@@ -36,6 +36,10 @@
     /// Delay before the next poll after a run has ended, so that one poll reads several ends: each
     /// poll is charged for.
     Millis pollSpacing{40};
+    /// How long a worker may take to answer a poll; an answer usually takes 2 ms.
+    Millis pollAnswerTime{500};
+    /// The same after several failed polls, as the worker may be slow to answer.
+    Millis slowPollAnswerTime{2500};
     /// Delay before a start or stop that was not answered is sent again.
     Millis commandRetryDelay{250};
     /// How often a start is sent before its run is abandoned and stopped.
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -10,9 +10,17 @@
 constexpr Millis kLeaseExpirySlack{150}; // added to the worker's time to stop expired runs
 constexpr Millis kStatusLifetimeSlack{30000}; // added to the time for which a state stays readable
 constexpr Millis kMixedPollWait{700}; // if serving runs share the worker with runs on idle cores
+constexpr int kManyFailedPolls = 3; // the worker may be slow to answer
 constexpr Millis kIdleTickInterval{250};
 constexpr Millis kBusyTickInterval{50};
 
+/// Returns after how many failed polls in a row the lease of the worker's runs is still extended.
+/// Where a restart shows by its start time, fewer silent workers wait for the end of their leases.
+int toleratedFailures(const WorkerState &worker)
+{
+    return worker.info.started.value == 0 ? 1 : 2;
+}
+
 } // namespace
 
 std::vector<SchedulerAction> Scheduler::tick(Instant now, std::int64_t wallClockMs,
@@ -107,6 +115,9 @@
     if (hasUnrecorded && !(isLeaseShort && !worker.runs.empty()))
         return;
     PollRequest request{.worker = worker.info.id, .started = worker.info.started};
+    // Short times at first, so that a new connection is tried soon.
+    request.answerTime = worker.failedPolls < kManyFailedPolls ? m_settings.pollAnswerTime
+                                                               : m_settings.slowPollAnswerTime;
     if (!mayHaveRestarted(worker, now))
         request.acknowledgedEnd = worker.lastRecordedEnd;
     bool needsAnswerNow = !worker.isSynced || worker.failedPolls > 0 || hasUnrecorded;
@@ -126,8 +137,9 @@
         hasServingRuns = hasServingRuns || run.latencyTarget.count() > 0;
     }
     // Does not extend the lease of an unresponsive worker, so that it expires and the runs are
-    // known to have ended. One lost answer is tolerated.
-    if (!worker.runs.empty() && worker.clock.isKnown() && worker.failedPolls <= 1) {
+    // known to have ended. A few lost answers are tolerated.
+    if (!worker.runs.empty() && worker.clock.isKnown()
+        && worker.failedPolls <= toleratedFailures(worker)) {
         request.leaseExpiry = worker.clock.estimatedTime(now) + m_settings.workerLease;
         worker.clock.recordGranted(request.leaseExpiry);
     }
