Give less work to slow workers and to those that answer no starts

Cause: placement knew no difference between workers, so one that is five times slower got as many tasks as the others. A worker that answered polls but no starts was chosen again and again.

Change: WorkerSpeed holds for each worker the decaying mean of run time to typical run time, from ended runs, overdue runs and runs whose copy was faster. chooseWorker() subtracts a penalty above 1.5; a slow worker is used last and gets no copies. Without observations the estimate returns to 1 within some tens of seconds. Gangs, long-running tasks and tasks on idle cores are not measured. A worker with three unanswered starts of one run is avoided like one that sheds load.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -226,6 +226,14 @@
                    std::vector<SchedulerAction> &out);
     void endOtherRun(const TaskId &id, TrackedTask &task, Instant now);
 
+    // The speed of workers.
+    static bool showsSpeed(const StepSpec &spec);
+    static double slownessPenalty(const WorkerState &worker, Instant now);
+    static bool isSlow(const WorkerState &worker, Instant now);
+    void observeSpeed(WorkerState &worker, double ratio, Instant now);
+    void observeRunTime(WorkerState &worker, const WorkerRun &run, TrackedStep &step, Instant now);
+    void noteOverdueRun(WorkerState &worker, WorkerRun &run, Instant now);
+
     bool isCertainlyReady(const WorkerState &worker, const WorkerRun &run, Instant now) const;
     StepPresence presenceOf(const TaskId &id, WorkerId here, Instant now) const;
     bool areDependenciesDone(const TrackedJob &job, const Occurrence &occurrence, int step) const;
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -2,6 +2,7 @@
 
 #include "oleanderhall/scheduling/leaseclock.h"
 #include "oleanderhall/scheduling/workerinfo.h"
+#include "oleanderhall/scheduling/workerspeed.h"
 
 #include "oleanderhall/core/time.h"
 #include "oleanderhall/jobs/taskid.h"
@@ -31,6 +32,8 @@
     bool isCopy = false; ///< It was started while another run of the task was active.
     Millis latencyTarget{0};
     Millis expectedRunTime{0};
+    bool showsSpeed = false; ///< Its run time depends on the worker's speed alone.
+    double notedSlowness = 0; ///< As last recorded for the worker while the run was overdue.
     Instant startSent; ///< When the start was first sent.
     Instant runningSince; ///< When the run was first known to be active.
     Instant nextSend; ///< When to send the start or stop, or to repeat it.
@@ -85,6 +88,7 @@
     std::int64_t lastAcknowledgedEnd = 0; ///< The highest sequence that the worker may discard.
     std::int64_t lastEndInBatch = 0; ///< Becomes `lastRecordedEnd` once the write is durable.
     Instant avoidUntil; ///< It gets no new tasks before this time.
+    WorkerSpeed speed;
     int timesAvoided = 0; ///< Since a task last succeeded here; each time doubles the delay.
     /// The job of the last run that failed here. If a run of another job fails next, the worker is
     /// avoided.
--- a/src/scheduling/schedulercopies.cpp
+++ b/src/scheduling/schedulercopies.cpp
@@ -188,7 +188,7 @@
         job.occurrences.begin(), job.occurrences.end(),
         [&](const Occurrence &entry) { return entry.number == run.task.occurrence; });
     WorkerState *worker = chooseWorker(job, *occurrence, run.task.step, task, now);
-    if (!worker)
+    if (!worker || isSlow(*worker, now))
         return false;
     if (!run.checkpoint.empty())
         task.checkpoint = run.checkpoint;
@@ -221,6 +221,7 @@
         for (WorkerRun &run : worker.runs) {
             if (run.task != id || run.phase == WorkerRun::Phase::Stopping)
                 continue;
+            noteOverdueRun(worker, run, now);
             requestStop(run, now);
             logDecision({"other_run_stopped",
                          {{"task", textOf(id)},
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -182,6 +182,8 @@
             run->nextSend = now + m_settings.commandRetryDelay;
         else
             requestStop(*run, now);
+        if (result == CallResult::Unknown && run->phase == WorkerRun::Phase::Stopping)
+            avoid(worker, "starts were not answered", now);
         return;
     }
     const WorkerRun ended = *run;
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -389,6 +389,7 @@
         double score = 0;
         if (std::find(task.failedOn.begin(), task.failedOn.end(), id) != task.failedOn.end())
             score -= kFailedHerePenalty;
+        score -= slownessPenalty(worker, now);
         if (!spec.dataRack.empty() && worker.info.hasLabel(spec.dataRack))
             score += kDataRackBonus;
         if (spec.isLongRunning && m_awaitingMaintenance.contains(id))
@@ -429,6 +430,7 @@
     run.startAttempts = 1;
     run.isCommandInFlight = true;
     run.allowsCopies = allowsCopies(spec);
+    run.showsSpeed = showsSpeed(spec);
     run.expectedRunTime = m_runTimes.expected(job.spec.queue.name, spec);
     if (task.isPlaced) {
         trackCopy(task, run, worker.info.id);
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -56,6 +56,8 @@
         removeRun(worker, index);
         unplace(run, now);
     }
+    for (WorkerRun &run : worker.runs)
+        noteOverdueRun(worker, run, now);
     stopStalledRuns(worker, now);
     adjustCpuLimits(worker, now);
     const bool hasNewEnds = !status.ended.empty();
@@ -97,6 +99,7 @@
         run.isLongRunning = spec->isLongRunning;
         run.latencyTarget = spec->latencyTarget;
         run.allowsCopies = allowsCopies(*spec);
+        run.showsSpeed = showsSpeed(*spec);
         if (run.usesIdleCores)
             run.reservation.milliCores = 0;
     }
@@ -132,12 +135,11 @@
     if (ended.sequence <= worker.lastHandledEnd)
         return;
     worker.lastHandledEnd = ended.sequence;
-    Instant runningSince{};
-    if (WorkerRun *run = findRun(worker, ended.task, ended.run)) {
-        const WorkerRun copy = *run;
-        runningSince = copy.runningSince;
+    WorkerRun known;
+    if (const WorkerRun *run = findRun(worker, ended.task, ended.run)) {
+        known = *run;
         removeRun(worker, static_cast<std::size_t>(run - worker.runs.data()));
-        unplace(copy, now);
+        unplace(known, now);
     }
     const auto found = m_jobs.find(ended.task.job);
     TrackedTask *task = findTask(ended.task);
@@ -175,11 +177,10 @@
         } else {
             endOtherRun(ended.task, *task, now);
         }
-        if (runningSince != Instant{}) {
-            const auto runTime = std::chrono::duration_cast<Millis>(now - runningSince);
-            m_runTimes.observe(job.spec.queue.name, spec.estimate, runTime);
-            step.totalRunTimeMs += static_cast<double>(runTime.count());
-            ++step.timedTasks;
+        if (known.runningSince != Instant{}) {
+            observeRunTime(worker, known, step, now);
+            m_runTimes.observe(job.spec.queue.name, spec.estimate,
+                               std::chrono::duration_cast<Millis>(now - known.runningSince));
         }
         worker.lastFailedJob = {};
         worker.timesAvoided = 0;
