Share a full pool among teams, and place jobs beyond a team's rate last

Cause: all jobs of a pool were in one order, so a team's flood delayed every other team's jobs.

Change: TeamQueues holds the waiting steps of each team and yields them in the order of a policy (concept OrderingPolicy): weighted dominant-resource fairness, which the Scheduler uses, first come first served, or least slack first. Within a team, JobRank orders as before; long-running tasks come first and jobs beyond the team's rate last. A wide step starts tasks until it is another team's turn. A step whose turn it is and that is bypassed by smaller tasks for 1 s gets workers reserved. TeamRateLimiter judges jobs by their acceptance time, in that order, ended jobs included, so that a new owner decides alike. Sums of running work are kept up to date with each run instead of being counted on each tick. With one team or none in a pool, the order is as before.

Bound: a team with waiting tasks of one size has its weighted share after the run time of the longest task; a wide task starts after 1 s more, once the tasks on its reserved workers have ended.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -5,6 +5,7 @@
 #include "oleanderhall/maintenance/hostinfo.h"
 #include "oleanderhall/scheduling/arrivalrate.h"
 #include "oleanderhall/scheduling/callresult.h"
+#include "oleanderhall/scheduling/capacityreservation.h"
 #include "oleanderhall/scheduling/congestionwindow.h"
 #include "oleanderhall/scheduling/decision.h"
 #include "oleanderhall/scheduling/jobrank.h"
@@ -13,11 +14,14 @@
 #include "oleanderhall/scheduling/runtimemodel.h"
 #include "oleanderhall/scheduling/scheduleraction.h"
 #include "oleanderhall/scheduling/schedulersettings.h"
+#include "oleanderhall/scheduling/teamload.h"
+#include "oleanderhall/scheduling/teamqueues.h"
 #include "oleanderhall/scheduling/ticketcache.h"
 #include "oleanderhall/scheduling/trackedjob.h"
 #include "oleanderhall/scheduling/workerstate.h"
 #include "oleanderhall/scheduling/workerstatus.h"
 #include "oleanderhall/teams/teamconfig.h"
+#include "oleanderhall/teams/teamratelimiter.h"
 #include "oleanderhall/teams/teamusage.h"
 
 #include <cstdint>
@@ -94,6 +98,8 @@
     std::vector<Decision> takeDecisions();
     /// Returns the number of waiting jobs of each queue with active jobs.
     std::vector<QueueLoad> queueLoads() const;
+    /// Returns what each team with a configuration, or with active jobs, uses and waits for.
+    std::vector<TeamLoad> teamLoads(Instant now) const;
     const std::map<WorkerId, WorkerState> &workers() const { return m_workers; }
     const std::map<JobId, TrackedJob> &jobs() const { return m_jobs; }
     /// Returns whether maintenance may end all runs of `worker`: all are of long-running tasks
@@ -117,21 +123,18 @@
     bool isSynced() const;
 
 private:
-    /// A step with tasks to start.
-    struct Candidate
-    {
-        JobId job;
-        int occurrence = 0; ///< The occurrence's index.
-        int step = 0;
-        JobRank rank;
-    };
+    using StepQueues = TeamQueues<WeightedFairShare, StepPosition>;
 
     /// The active jobs of a pool and its workers.
     struct PoolState
     {
         std::set<JobId> jobs;
         std::vector<WorkerState *> workers;
-        std::vector<Candidate> ranked; ///< As of the last ranking; steps without tasks are removed.
+        Resources capacity; ///< Of the workers.
+        std::map<TeamId, Resources> used; ///< Reserved by the runs of each team.
+        std::map<TeamId, RefusedStep> refused; ///< The step of each team that was refused last.
+        CapacityReservation reservation;
+        StepQueues ranked; ///< As of the last ranking; steps without tasks are removed.
         Instant nextRanking;
     };
 
@@ -162,6 +165,7 @@
                        Instant now);
     void avoid(WorkerState &worker, const char *reason, Instant now);
     void dropAllRuns(WorkerState &worker, const char *reason, Instant now);
+    void addRun(WorkerState &worker, WorkerRun run);
     void removeRun(WorkerState &worker, std::size_t index);
     void unplace(const WorkerRun &run, Instant now);
     WorkerRun *findRun(WorkerState &worker, const TaskId &task, std::int64_t run);
@@ -189,22 +193,35 @@
     void expireOldJobs(Instant now);
 
     // Teams.
-    void countTeamUsage(Instant now);
+    void addUsage(PoolId pool, const WorkerRun &run);
+    void removeUsage(PoolId pool, const WorkerRun &run);
+    void countPossiblyRunning(Instant now);
+    void rateNewJobs();
+    double weightOf(TeamId team) const;
+    TeamStanding standingOf(const PoolState &pool, TeamId team) const;
+    StepStanding stepStandingOf(const TrackedJob &job, const Occurrence &occurrence,
+                                Instant now) const;
     std::map<TeamId, Resources> possiblyRunning() const;
     std::optional<Resources> unreadCapacity(PoolId pool) const;
     bool isWithinCap(const TrackedJob &job, const StepSpec &spec, int count, Instant now) const;
+    void checkReservation(PoolState &pool, Instant now);
+    void onStepRefused(PoolState &pool, const StepPosition &position, Instant now);
+    void onStepStarted(PoolState &pool, const StepPosition &position);
+    void reserveWorkers(PoolState &pool, const StepPosition &position, Instant now);
     bool mayRepeatStart(const WorkerRun &run, Instant now);
     Resources heldBy(const TrackedJob &job) const;
 
     // Placement.
     void place(Instant now, std::vector<SchedulerAction> &out);
     void placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
-    std::vector<Candidate> candidates(const PoolState &pool, Instant now) const;
-    bool hasTasksToStart(const Candidate &candidate) const;
+    void rankSteps(PoolState &pool, Instant now);
+    bool hasTasksToStart(const StepPosition &candidate) const;
     void groupWorkersByPool();
     void groupJobsByPool();
-    void placeStep(const Candidate &candidate, Instant now, std::vector<SchedulerAction> &out);
-    void requestAdvice(const Candidate &candidate, Instant now, std::vector<SchedulerAction> &out);
+    bool placeStep(PoolState &pool, const StepPosition &candidate, Instant now,
+                   std::vector<SchedulerAction> &out);
+    void requestAdvice(const StepPosition &candidate, Instant now,
+                       std::vector<SchedulerAction> &out);
     bool placeTask(TrackedJob &job, Occurrence &occurrence, int step, int index, Instant now,
                    std::vector<SchedulerAction> &out);
     void placeGang(TrackedJob &job, Occurrence &occurrence, int step, Instant now,
@@ -249,7 +266,9 @@
     std::set<WorkerId> m_awaitingMaintenance;
     std::map<PoolId, ArrivalRate> m_arrivals; ///< Of work, in core-seconds per second.
     TeamUsage m_teamUsage;
-    bool m_hasTeamJobs = false; ///< A job of a team has been added.
+    std::map<TeamId, double> m_teamWeights;
+    TeamRateLimiter m_rateLimiter;
+    std::vector<JobId> m_newTeamJobs; ///< Not compared with their team's rate yet.
     /// Jobs of teams that an earlier owner may have started; empty once its runs can't go on.
     std::vector<JobId> m_possiblyStarted;
     Instant m_nextPossibleCount;
--- a/include/oleanderhall/scheduling/schedulersettings.h
+++ b/include/oleanderhall/scheduling/schedulersettings.h
@@ -49,6 +49,7 @@
     Millis recordInterval{50};
     /// Jobs per write of progress, which the caller splits into transactions.
     std::size_t maxJobsPerWrite = 240;
+    Millis teamRateWindow{5000}; ///< The span over which the rate of a team's jobs is judged.
     /// The fraction by which a worker's clock may run slow; the platform specifies 2 %.
     double clockDrift = 0.02;
 };
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -67,6 +67,7 @@
     bool isReleased = false; ///< Its release is decided, but possibly not recorded yet.
     bool isReleaseInBatch = false; ///< The write in flight contains its release.
     bool isReleaseRecorded = false; ///< Its release is durable, so its tasks may start.
+    bool isOverRate = false; ///< Its team sent it beyond its rate.
     Instant accepted;
     Instant ended;
     std::vector<Occurrence> occurrences;
--- a/include/oleanderhall/teams/teamusage.h
+++ b/include/oleanderhall/teams/teamusage.h
@@ -31,8 +31,6 @@
     /// Returns the version that was set last.
     ConfigVersion version() const { return m_version; }
 
-    /// Removes all runs, so that they can be counted again.
-    void clearRunning();
     void addRunning(TeamId team, const Resources &need);
     void removeRunning(TeamId team, const Resources &need);
     /// Replaces what earlier owners may have started.
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -28,6 +28,7 @@
     SchedulerSettings result;
     result.stopTimeout = settings.taskStopTimeout;
     result.statusLifetime = settings.statusLifetime;
+    result.teamRateWindow = settings.teamRateWindow;
     return result;
 }
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -17,6 +17,7 @@
     : m_settings(settings)
     , m_generation(generation)
     , m_termStart(now)
+    , m_rateLimiter(settings.teamRateWindow)
 {}
 
 void Scheduler::setQueues(ConfigVersion version, const std::vector<QueueConfig> &queues)
@@ -55,6 +56,12 @@
         if (worker.info.isDraining != info.isDraining) {
             logDecision({"worker_draining", {{"worker", info.id.name()}}});
         }
+        if (worker.info.pool != info.pool) {
+            for (const WorkerRun &run : worker.runs) {
+                removeUsage(worker.info.pool, run);
+                addUsage(info.pool, run);
+            }
+        }
         worker.info = info;
         worker.isListed = true;
     }
@@ -86,7 +93,8 @@
     const auto queue = m_queues.find(job.spec.queue.name);
     if (queue != m_queues.end() && job.spec.config <= m_version)
         job.spec.queue = queue->second;
-    m_hasTeamJobs = m_hasTeamJobs || !job.spec.team.empty();
+    if (!job.spec.team.empty())
+        m_newTeamJobs.push_back(id);
     job.inheritedRunning = progress.stillRunning;
     const bool mayStillRun = isFinal(job.state) ? progress.stillRunning != Resources()
                                                 : job.isInherited && job.isReleased;
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -35,9 +35,17 @@
     m_needsPlacement = true;
 }
 
+void Scheduler::addRun(WorkerState &worker, WorkerRun run)
+{
+    worker.used += run.reservation;
+    addUsage(worker.info.pool, run);
+    worker.runs.push_back(std::move(run));
+}
+
 void Scheduler::removeRun(WorkerState &worker, std::size_t index)
 {
     worker.used -= worker.runs[index].reservation;
+    removeUsage(worker.info.pool, worker.runs[index]);
     worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(index));
     m_needsPlacement = true;
 }
@@ -62,6 +70,7 @@
     for (const WorkerRun &run : worker.runs) {
         if (TrackedTask *task = findTask(run.task); task && !run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
+        removeUsage(worker.info.pool, run);
         unplace(run, now);
     }
     worker.runs.clear();
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -12,6 +12,11 @@
 // Placement in a pool ends after this many steps without a start, which bounds the search of a full
 // pool.
 constexpr std::size_t kMaxUnplacedSteps = 40;
+// The same for one team if several share the pool.
+constexpr std::size_t kMinUnplacedStepsPerTeam = 2;
+// A team at its cap may have steps that don't use the resource at its limit. Jobs among these steps
+// are released, so that they can start as soon as others end.
+constexpr std::size_t kMaxCappedStepsPerTeam = 8;
 constexpr double kMilliPerUnit = 1000;
 // Per pool. After a take-over, released jobs may have to wait until earlier leases have expired, so
 // a higher limit would delay more jobs. A large pool starts more jobs while a release is recorded.
@@ -114,7 +119,7 @@
     return inputs;
 }
 
-bool Scheduler::hasTasksToStart(const Candidate &candidate) const
+bool Scheduler::hasTasksToStart(const StepPosition &candidate) const
 {
     const auto found = m_jobs.find(candidate.job);
     if (found == m_jobs.end() || isFinal(found->second.state))
@@ -126,28 +131,26 @@
         && areDependenciesDone(job, occurrence, candidate.step);
 }
 
-std::vector<Scheduler::Candidate> Scheduler::candidates(const PoolState &pool, Instant now) const
+/// Orders the steps of the pool with tasks to start.
+void Scheduler::rankSteps(PoolState &pool, Instant now)
 {
-    std::vector<Candidate> result;
+    pool.ranked.clear();
     for (const JobId id : pool.jobs) {
         const TrackedJob &job = m_jobs.at(id);
         for (int number = 0; number < static_cast<int>(job.occurrences.size()); ++number) {
             const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(number)];
-            std::optional<JobRank> rank; // the same for all steps
+            std::optional<StepStanding> standing; // the same for all steps
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
-                Candidate candidate{.job = id, .occurrence = number, .step = step};
+                const StepPosition candidate{.job = id, .occurrence = number, .step = step};
                 if (!hasTasksToStart(candidate))
                     continue;
-                if (!rank)
-                    rank = rankOf(rankInputsOf(job, occurrence, now));
-                candidate.rank = *rank;
-                result.push_back(candidate);
+                if (!standing)
+                    standing = stepStandingOf(job, occurrence, now);
+                pool.ranked.add(job.spec.team, *standing, candidate);
             }
         }
     }
-    std::stable_sort(result.begin(), result.end(),
-                     [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
-    return result;
+    pool.ranked.sort();
 }
 
 void Scheduler::groupJobsByPool()
@@ -163,10 +166,15 @@
 
 void Scheduler::groupWorkersByPool()
 {
-    for (auto &[id, pool] : m_pools)
+    for (auto &[id, pool] : m_pools) {
         pool.workers.clear();
-    for (auto &[id, worker] : m_workers)
-        m_pools[worker.info.pool].workers.push_back(&worker);
+        pool.capacity = {};
+    }
+    for (auto &[id, worker] : m_workers) {
+        PoolState &pool = m_pools[worker.info.pool];
+        pool.workers.push_back(&worker);
+        pool.capacity += worker.info.capacity;
+    }
 }
 
 void Scheduler::place(Instant now, std::vector<SchedulerAction> &out)
@@ -198,78 +206,118 @@
 void Scheduler::placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out)
 {
     if (now >= pool.nextRanking) {
-        pool.ranked = candidates(pool, now);
+        rankSteps(pool, now);
         pool.nextRanking = now + pool.ranked.size() * kRankingIntervalPerStep;
     } else {
         m_needsPlacement = true; // the order may lack steps that have become ready since
     }
     const std::size_t maxReleasing = std::max(kMinJobsReleasedAhead,
                                               pool.workers.size() / kWorkersPerJobReleasedAhead);
+    const std::size_t maxUnplacedPerTeam = std::max(
+        kMinUnplacedStepsPerTeam,
+        kMaxUnplacedSteps / std::max<std::size_t>(pool.ranked.teamCount(), 1));
     std::size_t unplaced = 0;
     std::size_t releasing = 0;
-    // The steps that are visited and still have tasks to start move to the front; the others of
-    // them are erased below.
-    std::size_t kept = 0;
-    std::size_t index = 0;
-    for (; index < pool.ranked.size(); ++index) {
-        const Candidate candidate = pool.ranked[index];
-        if (!hasTasksToStart(candidate))
+    const bool isShared = pool.ranked.teamCount() > 1;
+    if (isShared)
+        checkReservation(pool, now);
+    else
+        pool.reservation = {};
+    pool.ranked.beginRound([&](TeamId team) { return standingOf(pool, team); });
+    while (const StepPosition *next = pool.ranked.next()) {
+        const StepPosition candidate = *next;
+        if (!hasTasksToStart(candidate)) {
+            pool.ranked.drop();
             continue;
-        pool.ranked[kept++] = candidate;
+        }
         TrackedJob &job = m_jobs.at(candidate.job);
-        if (!isWithinCap(job, job.spec.steps[static_cast<std::size_t>(candidate.step)], 1, now))
-            continue;
+        const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(candidate.step)];
+        const bool isCapped = !isWithinCap(job, spec, 1, now);
+        if (isCapped && pool.ranked.countRefusal() >= kMaxCappedStepsPerTeam)
+            pool.ranked.block();
         if (!job.isReleaseRecorded) {
             // Releases the next jobs before there is capacity for them, because they can't start
             // until the release is durable.
+            pool.ranked.keep();
             if (++releasing > maxReleasing) {
-                ++index;
-                break;
+                pool.ranked.block();
+                continue;
             }
+            pool.ranked.addRunning(spec.need); // so that each team has jobs released in its turn
             if (!job.isReleased) {
                 job.isReleased = true;
                 markDirty(job);
             }
             continue;
         }
-        const std::size_t before = out.size();
-        if (m_startWindow.isOpen())
-            placeStep(candidate, now, out);
-        if (!m_startWindow.isOpen() || (out.size() == before && ++unplaced >= kMaxUnplacedSteps)) {
-            ++index;
+        if (isCapped) {
+            pool.ranked.keep();
+            continue;
+        }
+        if (!m_startWindow.isOpen()) {
+            pool.ranked.keep();
             break;
         }
+        const std::size_t before = out.size();
+        const bool isInterrupted = placeStep(pool, candidate, now, out);
+        if (isShared && out.size() != before)
+            onStepStarted(pool, candidate);
+        if (isInterrupted) {
+            pool.ranked.repeat();
+            continue;
+        }
+        pool.ranked.keep();
+        if (!m_startWindow.isOpen())
+            break;
+        if (out.size() != before)
+            continue;
+        if (isShared && unplaced == 0)
+            onStepRefused(pool, candidate, now);
+        if (++unplaced >= kMaxUnplacedSteps)
+            break;
+        if (pool.ranked.countRefusal() >= maxUnplacedPerTeam)
+            pool.ranked.block();
     }
-    const auto begin = pool.ranked.begin();
-    pool.ranked.erase(begin + static_cast<std::ptrdiff_t>(kept),
-                      begin + static_cast<std::ptrdiff_t>(index));
+    pool.ranked.endRound();
 }
 
-void Scheduler::placeStep(const Candidate &candidate, Instant now,
+/// Starts tasks of the step. Returns true if it stopped because it is another team's turn.
+bool Scheduler::placeStep(PoolState &pool, const StepPosition &candidate, Instant now,
                           std::vector<SchedulerAction> &out)
 {
     TrackedJob &job = m_jobs.at(candidate.job);
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(candidate.step)];
     Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(candidate.occurrence)];
     TrackedStep &step = occurrence.steps[static_cast<std::size_t>(candidate.step)];
+    const auto reserved = [&] {
+        const auto used = pool.used.find(job.spec.team);
+        return used == pool.used.end() ? Resources() : used->second;
+    };
     if (job.spec.queue.advice)
         requestAdvice(candidate, now, out);
     if (spec.isGang) {
+        const Resources before = reserved();
         placeGang(job, occurrence, candidate.step, now, out);
-        return;
+        pool.ranked.addRunning(reserved() - before);
+        return false;
     }
     for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
         if (!m_startWindow.isOpen())
-            return;
+            return false;
         if (!mayStart(job, step.tasks[static_cast<std::size_t>(index)], now))
             continue;
+        if (!pool.ranked.isCurrentFirst())
+            return true;
+        const Resources before = reserved();
         if (!placeTask(job, occurrence, candidate.step, index, now, out))
-            return;
+            return false;
+        pool.ranked.addRunning(reserved() - before);
     }
+    return false;
 }
 
 /// Requests tickets for workers with enough free capacity unless the step has a valid one.
-void Scheduler::requestAdvice(const Candidate &candidate, Instant now,
+void Scheduler::requestAdvice(const StepPosition &candidate, Instant now,
                               std::vector<SchedulerAction> &out)
 {
     const TrackedJob &job = m_jobs.at(candidate.job);
@@ -341,7 +389,6 @@
                 const WorkerRun ended = *placed;
                 removeRun(holder, static_cast<std::size_t>(placed - holder.runs.data()));
                 unplace(ended, now);
-                m_teamUsage.removeRunning(ended.team, ended.need);
                 m_startWindow.onWithdrawn();
             }
             m_needsPlacement = false;
@@ -364,9 +411,14 @@
         need.milliCores = 0;
     WorkerState *best = nullptr;
     double bestScore = 0;
-    for (WorkerState *candidate : m_pools[job.spec.queue.pool].workers) {
+    const PoolState &pool = m_pools[job.spec.queue.pool];
+    const bool isReservedFor = pool.reservation.position
+        == StepPosition{job.spec.id, static_cast<int>(&occurrence - job.occurrences.data()), step};
+    for (WorkerState *candidate : pool.workers) {
         WorkerState &worker = *candidate;
         const WorkerId id = worker.info.id;
+        if (!isReservedFor && pool.reservation.workers.contains(id))
+            continue;
         if (!worker.acceptsNewTasks(now) || !need.fitsInto(worker.freeCapacity())
             || (!spec.requiredLabel.empty() && !worker.info.hasLabel(spec.requiredLabel)))
             continue;
@@ -425,7 +477,6 @@
         run.reservation.milliCores = 0;
     run.team = job.spec.team;
     run.need = spec.need;
-    m_teamUsage.addRunning(run.team, run.need);
     run.usesIdleCores = spec.usesIdleCores;
     run.isLongRunning = spec.isLongRunning;
     run.latencyTarget = spec.latencyTarget;
@@ -437,10 +488,9 @@
     task.worker = worker.info.id;
     task.lastRun = number;
     ++step.placedTasks;
-    worker.used += run.reservation;
     if (worker.runs.empty())
         worker.nextPoll = std::max(worker.nextPoll, now + m_settings.pollSpacing);
-    worker.runs.push_back(run);
+    addRun(worker, std::move(run));
     if (job.state == JobState::Queued) {
         job.state = JobState::Running;
         markLazilyDirty(job, now);
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -116,8 +116,7 @@
                      true});
         requestStop(run, now);
     }
-    worker.used += run.reservation;
-    worker.runs.push_back(std::move(run));
+    addRun(worker, std::move(run));
 }
 
 void Scheduler::handleEndedRun(WorkerState &worker, const EndedRun &ended, Instant now)
--- a/src/scheduling/schedulerteams.cpp
+++ b/src/scheduling/schedulerteams.cpp
@@ -35,19 +35,122 @@
 
 void Scheduler::setTeams(ConfigVersion version, const std::vector<TeamConfig> &teams, Instant now)
 {
+    if (version >= m_teamUsage.version()) {
+        m_teamWeights.clear();
+        for (const TeamConfig &team : teams)
+            m_teamWeights[team.id] = team.weight;
+    }
     m_teamUsage.setTeams(version, teams, now);
     m_needsPlacement = true;
 }
 
-void Scheduler::countTeamUsage(Instant now)
+void Scheduler::addUsage(PoolId pool, const WorkerRun &run)
+{
+    m_teamUsage.addRunning(run.team, run.need);
+    m_pools[pool].used[run.team] += run.reservation;
+}
+
+void Scheduler::removeUsage(PoolId pool, const WorkerRun &run)
+{
+    m_teamUsage.removeRunning(run.team, run.need);
+    m_pools[pool].used[run.team] -= run.reservation;
+}
+
+/// Compares the jobs that were added since the last call with the rates of their teams. After a
+/// take-over, this includes ended jobs, in the order in which they were accepted.
+void Scheduler::rateNewJobs()
 {
-    if (!m_hasTeamJobs)
+    if (m_newTeamJobs.empty() || !m_teamUsage.isConfigured())
         return;
-    m_teamUsage.clearRunning();
-    for (const auto &[id, worker] : m_workers) {
-        for (const WorkerRun &run : worker.runs)
-            m_teamUsage.addRunning(run.team, run.need);
+    std::vector<TrackedJob *> jobs;
+    jobs.reserve(m_newTeamJobs.size());
+    for (const JobId id : std::exchange(m_newTeamJobs, {})) {
+        if (const auto found = m_jobs.find(id); found != m_jobs.end())
+            jobs.push_back(&found->second);
+    }
+    std::stable_sort(jobs.begin(), jobs.end(), [](const TrackedJob *a, const TrackedJob *b) {
+        return a->spec.acceptedMs < b->spec.acceptedMs;
+    });
+    for (TrackedJob *job : jobs) {
+        const auto weight = m_teamWeights.find(job->spec.team);
+        job->isOverRate = weight != m_teamWeights.end()
+            && m_rateLimiter.isOverRate(job->spec.team, weight->second, job->spec.acceptedMs);
+    }
+}
+
+/// Returns the team's weight; that of jobs without a team is the mean of the teams' weights.
+double Scheduler::weightOf(TeamId team) const
+{
+    const auto found = m_teamWeights.find(team);
+    if (found != m_teamWeights.end() && found->second > 0)
+        return found->second;
+    double sum = 0;
+    int count = 0;
+    for (const auto &[id, weight] : m_teamWeights) {
+        sum += weight;
+        count += weight > 0 ? 1 : 0;
     }
+    return count > 0 ? sum / count : 1;
+}
+
+TeamStanding Scheduler::standingOf(const PoolState &pool, TeamId team) const
+{
+    const auto used = pool.used.find(team);
+    return {.weight = weightOf(team),
+            .running = used == pool.used.end() ? Resources() : used->second,
+            .capacity = pool.capacity};
+}
+
+StepStanding Scheduler::stepStandingOf(const TrackedJob &job, const Occurrence &occurrence,
+                                       Instant now) const
+{
+    const JobRankInputs inputs = rankInputsOf(job, occurrence, now);
+    StepStanding standing{.rank = rankOf(inputs), .accepted = job.accepted};
+    // A long-running job that has been started must not stay down behind other jobs.
+    if (job.isOverRate && !(inputs.isLongRunning && job.state == JobState::Running))
+        standing.stepClass = StepStanding::Class::OverRate;
+    else if (inputs.isLongRunning)
+        standing.stepClass = StepStanding::Class::LongRunning;
+    const std::chrono::duration<double, std::milli> objective = inputs.stretch * inputs.criticalPath
+        + inputs.allowance;
+    standing.slack = std::chrono::duration_cast<Millis>(objective) - inputs.age
+        - inputs.criticalPathLeft;
+    return standing;
+}
+
+std::vector<TeamLoad> Scheduler::teamLoads(Instant now) const
+{
+    std::map<TeamId, TeamLoad> loads;
+    for (const auto &[team, weight] : m_teamWeights)
+        loads[team];
+    for (const JobId id : m_active) {
+        const TrackedJob &job = m_jobs.at(id);
+        TeamLoad &load = loads[job.spec.team];
+        if (job.state != JobState::Queued || job.spec.occurrences > 0)
+            continue;
+        ++load.waitingJobs;
+        load.overRateJobs += job.isOverRate ? 1 : 0;
+    }
+    std::vector<TeamLoad> result;
+    result.reserve(loads.size());
+    for (auto &[team, load] : loads) {
+        load.team = team;
+        load.weight = weightOf(team);
+        const TeamUsage::Amounts amounts = m_teamUsage.amounts(team);
+        load.running = amounts.running;
+        load.possiblyRunning = amounts.possible;
+        load.cap = m_teamUsage.cap(team, now);
+        constexpr Resources kSmallestTask{.milliCores = 1, .memoryMb = 1, .gpus = 1};
+        load.isAtCap = !team.empty() && !m_teamUsage.admits(team, kSmallestTask, 1, now);
+        for (const auto &[id, pool] : m_pools)
+            load.share = std::max(load.share, dominantShare(standingOf(pool, team)));
+        result.push_back(load);
+    }
+    return result;
+}
+
+void Scheduler::countPossiblyRunning(Instant now)
+{
     if (now < m_nextPossibleCount || m_possiblyStarted.empty())
         return;
     m_nextPossibleCount = now + kPossibleCountInterval;
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -22,7 +22,8 @@
     openOccurrences(wallClockMs);
     dropExpiredRuns(now);
     if (maySendCommands) {
-        countTeamUsage(now);
+        rateNewJobs();
+        countPossiblyRunning(now);
         for (auto &[id, worker] : m_workers)
             sendCommands(worker, now, out);
         place(now, out);
--- a/src/teams/teamusage.cpp
+++ b/src/teams/teamusage.cpp
@@ -52,12 +52,6 @@
     return now - cap.changed < kCapRaiseDelay ? lowerLimits(cap.latest, cap.earlier) : cap.latest;
 }
 
-void TeamUsage::clearRunning()
-{
-    for (auto &[team, amounts] : m_amounts)
-        amounts.running = {};
-}
-
 void TeamUsage::addRunning(TeamId team, const Resources &need)
 {
     if (!team.empty())
--- a/tests/scheduling/scheduler_property_test.cpp
+++ b/tests/scheduling/scheduler_property_test.cpp
@@ -236,6 +236,22 @@
         for (SchedulerAction &action : owner.scheduler->tick(m_now, 0, maySendCommands))
             std::visit([&](auto &concrete) { send(owner, concrete); }, action);
         owner.scheduler->takeDecisions();
+        if (m_hasTeams)
+            checkUsage(*owner.scheduler);
+    }
+
+    /// Records a violation if the scheduler's sums differ from what it knows about the workers.
+    void checkUsage(const Scheduler &scheduler)
+    {
+        std::map<TeamId, Resources> sums;
+        for (const auto &[id, worker] : scheduler.workers()) {
+            for (const WorkerRun &run : worker.runs)
+                sums[run.team] += run.need;
+        }
+        for (const TeamLoad &load : scheduler.teamLoads(m_now)) {
+            if (!load.team.empty() && load.running != sums[load.team])
+                violations.push_back("team " + load.team.name() + ": wrong sum of its runs");
+        }
     }
 
     /// Schedules a call of `later` if its owner still exists at `when`.
--- a/tests/scheduling/schedulerteams_test.cpp
+++ b/tests/scheduling/schedulerteams_test.cpp
@@ -2,6 +2,8 @@
 // configuration changes meanwhile.
 #include "../support/schedulerfixture.h"
 
+#include <algorithm>
+
 using namespace oleanderhall;
 using namespace oleanderhall::test;
 
@@ -26,8 +28,40 @@
         return job;
     }
 
+    /// Reports that these runs have ended and all others go on.
+    void end(const std::vector<StartCommand> &starts)
+    {
+        for (const WorkerId id : {w1, w2}) {
+            std::vector<ActiveRun> running;
+            std::vector<EndedRun> ended;
+            for (const WorkerRun &run : scheduler.workers().at(id).runs)
+                running.push_back({.task = run.task, .run = run.run});
+            for (const StartCommand &start : starts) {
+                if (start.worker != id)
+                    continue;
+                ended.push_back({.sequence = ++lastEnd[id],
+                                 .task = start.task,
+                                 .run = start.run,
+                                 .runOutcome = RunOutcome::Done});
+                std::erase_if(running,
+                              [&](const ActiveRun &run) { return run.task == start.task; });
+            }
+            answerPoll({.worker = id}, running, ended);
+        }
+    }
+
+    static int countOf(const std::vector<StartCommand> &starts, std::uint64_t firstId,
+                       std::uint64_t lastId)
+    {
+        return static_cast<int>(
+            std::count_if(starts.begin(), starts.end(), [&](const StartCommand &start) {
+                return start.task.job.value >= firstId && start.task.job.value <= lastId;
+            }));
+    }
+
     const TeamId team{"a"};
     const TeamId otherTeam{"b"};
+    std::map<WorkerId, std::int64_t> lastEnd;
 };
 
 } // namespace
@@ -40,17 +74,7 @@
     const std::vector<StartCommand> first = tick<StartCommand>();
     REQUIRE(first.size() == 3);
     confirm(first);
-    for (const WorkerId id : {w1, w2}) {
-        std::vector<EndedRun> ended;
-        for (const StartCommand &start : first) {
-            if (start.worker == id)
-                ended.push_back({.sequence = static_cast<std::int64_t>(ended.size()) + 1,
-                                 .task = start.task,
-                                 .run = start.run,
-                                 .runOutcome = RunOutcome::Done});
-        }
-        answerPoll({.worker = id}, {}, ended);
-    }
+    end(first);
     CHECK(tick<StartCommand>().size() == 3);
 }
 
@@ -175,3 +199,94 @@
     CHECK(startsAt(Millis(6900)) == 0);
     CHECK(startsAt(Millis(7100)) == 1);
 }
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_floodOfATeamInAFullPool_teamsShareIt",
+                 "[scheduler][teams]")
+{
+    // Guards against a team that keeps the pool because its jobs were accepted first.
+    setCap(scheduler, 2, {});
+    advance(Millis(3000));
+    syncAllWorkers();
+    for (std::uint64_t id = 1; id <= 40; ++id)
+        submit(jobOf(team, id, makeStep(4, Millis(100))));
+    std::vector<StartCommand> running = tick<StartCommand>();
+    REQUIRE(running.size() == 16);
+    for (std::uint64_t id = 101; id <= 110; ++id)
+        submit(jobOf(otherTeam, id, makeStep(4, Millis(2000))));
+    confirm(running);
+    advance(Millis(100));
+    const std::vector<StartCommand> ended(running.begin(), running.begin() + 10);
+    end(ended);
+    const std::vector<StartCommand> next = tick<StartCommand>();
+    CHECK(next.size() == 10);
+    CHECK(countOf(next, 101, 110) == 8);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_weightsDiffer_sharesAreInProportion",
+                 "[scheduler][teams]")
+{
+    scheduler.setTeams({2}, {{.id = team, .weight = 300}, {.id = otherTeam, .weight = 100}}, now);
+    advance(Millis(3000));
+    syncAllWorkers();
+    submit(jobOf(team, 1, makeStep(30, Millis(100))));
+    submit(jobOf(otherTeam, 2, makeStep(30, Millis(100))));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    CHECK(countOf(starts, 1, 1) == 12);
+    CHECK(countOf(starts, 2, 2) == 4);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_taskNeedsAWholeWorker_smallTasksDontStarveIt",
+                 "[scheduler][teams]")
+{
+    // Guards against small tasks of one team that take each core as soon as it is free.
+    setCap(scheduler, 2, {});
+    advance(Millis(3000));
+    syncAllWorkers();
+    for (std::uint64_t id = 1; id <= 50; ++id)
+        submit(jobOf(team, id, makeStep(16, Millis(100))));
+    std::vector<StartCommand> running = tick<StartCommand>();
+    REQUIRE(running.size() == 16);
+    StepSpec whole = makeStep(1, Millis(100));
+    whole.need.milliCores = 8000;
+    submit(jobOf(otherTeam, 999, whole));
+    bool hasStarted = false;
+    for (int round = 0; round < 40 && !hasStarted; ++round) {
+        confirm(running);
+        advance(Millis(100));
+        const std::vector<StartCommand> ended{running.front()}; // one core at a time
+        running.erase(running.begin());
+        end(ended);
+        for (const StartCommand &start : tick<StartCommand>()) {
+            hasStarted = hasStarted || start.task.job.value == 999;
+            running.push_back(start);
+        }
+    }
+    CHECK(hasStarted);
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_jobsBeyondTheTeamsRate_startLastAfterATakeOver",
+                 "[scheduler][teams]")
+{
+    // Guards against an owner that decides by the order in which it reads the jobs.
+    Scheduler successor(SchedulerSettings{}, 1, now - std::chrono::minutes(1));
+    setCap(successor, 1, {}); // one job a second
+    successor.setWorkers({makeWorker("w1", "pool", 6000)}, now);
+    successor.updateHosts({makeHost("h1", w1)}, now, now);
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        JobSpec job = jobOf(id <= 10 ? team : otherTeam, id, makeStep(1, Millis(100)));
+        job.acceptedMs = 100'000 + static_cast<std::int64_t>(9 - id % 10) * 100;
+        successor.addJob(job, {.id = job.id, .isReleased = true}, true, now);
+    }
+    successor.onPollResult({.worker = w1}, CallResult::Ok, {.clock = Millis(1000)}, now, now);
+    std::vector<StartCommand> starts;
+    for (const SchedulerAction &action : successor.tick(now, 0)) {
+        if (const auto *start = std::get_if<StartCommand>(&action))
+            starts.push_back(*start);
+    }
+    CHECK(starts.size() == 6);
+    for (const TeamLoad &load : successor.teamLoads(now))
+        CHECK(load.overRateJobs == 5);
+    // The five that were accepted first of each team are within its rate.
+    for (const StartCommand &start : starts)
+        CHECK(start.task.job.value % 10 >= 5);
+}
