Show what teams use and why their jobs wait

Cause: operators and entry hosts could not see a team's running work against its cap, its share or its jobs over rate.

Change: Scheduler::teamLoads() and FleetOwner::teamLoads() give them for each team. Gauges may carry labels in their names.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -203,7 +203,7 @@
                                 Instant now) const;
     std::map<TeamId, Resources> possiblyRunning() const;
     std::optional<Resources> unreadCapacity(PoolId pool) const;
-    bool isWithinCap(const TrackedJob &job, const StepSpec &spec, int count, Instant now) const;
+    bool isWithinCap(const TrackedJob &job, const StepSpec &spec, int count, Instant now);
     void checkReservation(PoolState &pool, Instant now);
     void onStepRefused(PoolState &pool, const StepPosition &position, Instant now);
     void onStepStarted(PoolState &pool, const StepPosition &position);
@@ -267,6 +267,7 @@
     std::map<PoolId, ArrivalRate> m_arrivals; ///< Of work, in core-seconds per second.
     TeamUsage m_teamUsage;
     std::map<TeamId, double> m_teamWeights;
+    std::map<TeamId, Instant> m_lastCapRefusals; ///< When a cap last refused a task of the team.
     TeamRateLimiter m_rateLimiter;
     std::vector<JobId> m_newTeamJobs; ///< Not compared with their team's rate yet.
     /// Jobs of teams that an earlier owner may have started; empty once its runs can't go on.
--- a/include/oleanderhall/scheduling/teamload.h
+++ b/include/oleanderhall/scheduling/teamload.h
@@ -19,7 +19,7 @@
     double share = 0; ///< The highest share that the team uses of a pool, from 0 to 1.
     std::int64_t waitingJobs = 0; ///< Accepted jobs of which no task has started.
     std::int64_t overRateJobs = 0; ///< Those of them that the team sent beyond its rate.
-    bool isAtCap = false; ///< No further task of the smallest size would be admitted.
+    bool isAtCap = false; ///< A task of it was refused for its cap within the last second.
 };
 
 } // namespace oleanderhall
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -106,8 +106,13 @@
         writeType(out, name, "counter");
         out << "oleanderhall_" << name << " " << amount << "\n";
     }
+    std::string lastBase;
     for (const auto &[name, value] : m_gauges) {
-        writeType(out, name, "gauge");
+        // A name may end with labels in braces; its values follow each other in the map.
+        const std::string base = name.substr(0, name.find('{'));
+        if (base != lastBase)
+            writeType(out, base, "gauge");
+        lastBase = base;
         out << "oleanderhall_" << name << " " << value << "\n";
     }
     for (const auto &[name, latency] : m_latencies)
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -30,7 +30,7 @@
     void countResponse(int status, Millis duration);
     /// Adds `amount` to the counter `name`, which should end in `_total`.
     void count(const std::string &name, std::uint64_t amount = 1);
-    /// Sets the gauge `name`.
+    /// Sets the gauge `name`, which may end with labels in braces.
     void gauge(const std::string &name, double value);
     /// Records `duration` in the latency histogram `name`, which should end in `_seconds`.
     void observe(const std::string &name, Millis duration);
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -46,6 +46,7 @@
     , m_term(ownership.term())
     , m_scheduler(schedulerSettings(settings), m_term.generation - 1, monotonicNow())
     , m_workerClient(io, metrics, m_term.version)
+    , m_teamReport(metrics)
     , m_stepTimer(io)
 {
     if (!settings.adviceAddress.empty())
@@ -102,6 +103,11 @@
     return m_isLoaded ? m_scheduler.queueLoads() : std::vector<QueueLoad>();
 }
 
+std::vector<TeamLoad> FleetOwner::teamLoads() const
+{
+    return m_isLoaded ? m_scheduler.teamLoads(monotonicNow()) : std::vector<TeamLoad>();
+}
+
 std::string FleetOwner::addressOf(WorkerId worker) const
 {
     const auto found = m_scheduler.workers().find(worker);
@@ -133,6 +139,8 @@
                                                                 m_ownership.maySendCommands(now));
         dispatch(actions);
         logDecisions();
+        if (m_teamReport.isDue(now) && m_view.config && !m_view.config->teams.empty())
+            m_teamReport.report(m_scheduler.teamLoads(now), now);
     }
     if (m_isStepScheduled)
         return;
--- a/src/node/fleetowner.h
+++ b/src/node/fleetowner.h
@@ -4,6 +4,7 @@
 #include "hostcontroller.h"
 #include "nodesettings.h"
 #include "tablewatcher.h"
+#include "teamreport.h"
 #include "workerdirectory.h"
 
 #include "../../platform/adviceclient.h"
@@ -43,6 +44,8 @@
     void viewChanged();
     /// Returns the number of waiting jobs of each queue; empty until the jobs are loaded.
     std::vector<QueueLoad> queueLoads() const;
+    /// Returns what each team uses and waits for; empty until the jobs are loaded.
+    std::vector<TeamLoad> teamLoads() const;
     bool isLoaded() const { return m_isLoaded; }
     /// Returns whether a fencing token row or a worker's refusal has shown that another process
     /// took over ownership.
@@ -85,6 +88,7 @@
     std::shared_ptr<TableWatcher> m_jobWatcher;
     std::shared_ptr<TableWatcher> m_workerWatcher;
     WorkerDirectory m_workerDirectory;
+    TeamReport m_teamReport;
     /// Progress that was read at the take-over; held until the jobs are loaded.
     std::map<JobId, JobProgress> m_inheritedProgress;
     /// Versions of the fencing token rows, by partition.
--- a/src/scheduling/schedulerteams.cpp
+++ b/src/scheduling/schedulerteams.cpp
@@ -11,6 +11,8 @@
 // older count is too high at most.
 constexpr Millis kPossibleCountInterval{100};
 
+constexpr Millis kCapRefusalLifetime{1000}; // one report
+
 Resources times(const Resources &need, int count)
 {
     return {.milliCores = need.milliCores * count,
@@ -140,8 +142,9 @@
         load.running = amounts.running;
         load.possiblyRunning = amounts.possible;
         load.cap = m_teamUsage.cap(team, now);
-        constexpr Resources kSmallestTask{.milliCores = 1, .memoryMb = 1, .gpus = 1};
-        load.isAtCap = !team.empty() && !m_teamUsage.admits(team, kSmallestTask, 1, now);
+        const auto refusal = m_lastCapRefusals.find(team);
+        load.isAtCap = refusal != m_lastCapRefusals.end()
+            && now - refusal->second <= kCapRefusalLifetime;
         for (const auto &[id, pool] : m_pools)
             load.share = std::max(load.share, dominantShare(standingOf(pool, team)));
         result.push_back(load);
@@ -226,8 +229,7 @@
 }
 
 /// Returns whether the cap of the job's team allows `count` further tasks of the step.
-bool Scheduler::isWithinCap(const TrackedJob &job, const StepSpec &spec, int count,
-                            Instant now) const
+bool Scheduler::isWithinCap(const TrackedJob &job, const StepSpec &spec, int count, Instant now)
 {
     const TeamId team = job.spec.team;
     if (team.empty())
@@ -236,7 +238,10 @@
     if (!m_teamUsage.isKnown(team)
         && (!m_teamUsage.isConfigured() || job.spec.config > m_teamUsage.version()))
         return false;
-    return m_teamUsage.admits(team, spec.need, count, now);
+    const bool isAdmitted = m_teamUsage.admits(team, spec.need, count, now);
+    if (!isAdmitted)
+        m_lastCapRefusals[team] = now;
+    return isAdmitted;
 }
 
 /// Returns whether the team's cap, which may have been lowered since, still allows the start.
--- a/tests/scheduling/schedulerteams_test.cpp
+++ b/tests/scheduling/schedulerteams_test.cpp
@@ -87,6 +87,33 @@
         submit(jobOf(team, id, makeStep(1, Millis(100))));
     submit(jobOf(otherTeam, 999, makeStep(1, Millis(2000))));
     CHECK(tick<StartCommand>().size() == 4);
+    for (const TeamLoad &load : scheduler.teamLoads(now)) {
+        CHECK(load.isAtCap == (load.team == team));
+        CHECK(load.waitingJobs == (load.team == team ? 97 : 0));
+        CHECK(load.running.milliCores == (load.team == team ? 3000 : 1000));
+    }
+}
+
+TEST_CASE_METHOD(SchedulerTeamsTest,
+                 "Scheduler_capLoweredInABurst_stopsNothingAndStartsOnceBelowTheCap",
+                 "[scheduler][teams]")
+{
+    syncAllWorkers();
+    for (std::uint64_t id = 1; id <= 100; ++id)
+        submit(jobOf(team, id, makeStep(1, Millis(100))));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 3);
+    confirm(starts);
+    setCap(scheduler, 2, {.milliCores = 1000});
+    end({starts[0], starts[1]}); // one run is left, which is what the new cap allows
+    int started = 0;
+    for (const SchedulerAction &action : scheduler.tick(now, 0)) {
+        CHECK_FALSE(std::holds_alternative<StopCommand>(action));
+        started += std::holds_alternative<StartCommand>(action) ? 1 : 0;
+    }
+    CHECK(started == 0);
+    end({starts[2]});
+    CHECK(tick<StartCommand>().size() == 1);
 }
 
 TEST_CASE_METHOD(SchedulerTeamsTest, "Scheduler_gangExceedsItsTeamsCap_startsNoMember",
