--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -117,8 +117,13 @@
         for (const auto &[labels, amount] : series)
             out << "oleanderhall_" << name << "{" << labels << "} " << amount << "\n";
     }
+    std::string lastBase;
     for (const auto &[name, value] : m_gauges) {
-        writeType(out, name, "gauge");
+        // A name may end with labels in braces; its values follow each other in the map.
+        const std::string base = name.substr(0, name.find('{'));
+        if (base != lastBase)
+            writeType(out, base, "gauge");
+        lastBase = base;
         out << "oleanderhall_" << name << " " << value << "\n";
     }
     for (const auto &[name, latency] : m_latencies)
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -33,7 +33,7 @@
     /// Adds 1 to the counter `name` with `labels`, such as `kind="a"`, whose values must be escaped
     /// and few.
     void countLabelled(const std::string &name, const std::string &labels);
-    /// Sets the gauge `name`.
+    /// Sets the gauge `name`, which may end with labels in braces.
     void gauge(const std::string &name, double value);
     /// Records `duration` in the latency histogram `name`, which should end in `_seconds`.
     void observe(const std::string &name, Millis duration);
