Find free ports for the tests of nodes, and let copies look at the teams' queues

Cause: unit tests of nodes listened on fixed ports; runs of several work trees at once failed with 'Address already in use' (17 of 347 cases). The merge of copies and fair shares needs to visit the waiting steps of all teams. Change: freePorts() in the tests' support, TeamQueues::forEach().

--- a/include/oleanderhall/scheduling/teamqueues.h
+++ b/include/oleanderhall/scheduling/teamqueues.h
@@ -43,6 +43,18 @@
         return sum;
     }
 
+    /// Calls `visit` with each item, team by team, until it returns false.
+    template <typename Visit>
+    void forEach(Visit visit) const
+    {
+        for (const Queue &queue : m_queues) {
+            for (const Entry &entry : queue.entries) {
+                if (!visit(entry.item))
+                    return;
+            }
+        }
+    }
+
     /// Begins a round at the first item of each team. `standingOf` returns the TeamStanding of a
     /// team.
     template <typename StandingOf>
--- a/src/scheduling/schedulercopies.cpp
+++ b/src/scheduling/schedulercopies.cpp
@@ -88,10 +88,10 @@
 /// released task waits that some worker could run. It may need just the capacity of a copy.
 std::optional<Resources> Scheduler::waitingNeeds(const PoolState &pool, Instant now) const
 {
-    Resources waiting;
-    for (const Candidate &candidate : pool.ranked) {
+    std::optional<Resources> waiting = Resources();
+    pool.ranked.forEach([&](const StepPosition &candidate) {
         if (!hasTasksToStart(candidate))
-            continue;
+            return true;
         const TrackedJob &job = m_jobs.at(candidate.job);
         const auto index = static_cast<std::size_t>(candidate.step);
         const StepSpec &spec = job.spec.steps[index];
@@ -100,16 +100,19 @@
                 && (spec.requiredLabel.empty() || worker->info.hasLabel(spec.requiredLabel));
         };
         if (std::none_of(pool.workers.begin(), pool.workers.end(), couldRun))
-            continue;
-        if (job.isReleaseRecorded)
-            return std::nullopt;
+            return true;
+        if (job.isReleaseRecorded) {
+            waiting.reset();
+            return false;
+        }
         const TrackedStep &step = job.occurrences[static_cast<std::size_t>(candidate.occurrence)]
                                       .steps[index];
         const auto tasks = static_cast<std::int64_t>(step.tasks.size()) - step.doneTasks
             - step.placedTasks;
-        waiting += {spec.need.milliCores * tasks, spec.need.memoryMb * tasks,
-                    spec.need.gpus * tasks};
-    }
+        *waiting += {spec.need.milliCores * tasks, spec.need.memoryMb * tasks,
+                     spec.need.gpus * tasks};
+        return true;
+    });
     return waiting;
 }
 
--- a/tests/node/callerapi_test.cpp
+++ b/tests/node/callerapi_test.cpp
@@ -7,6 +7,7 @@
 #include "../../platform/callermessages.h"
 #include "../../platform/standin/standinrows.h"
 #include "../../platform/standin/standintable.h"
+#include "../support/freeports.h"
 
 #include "oleanderhall/core/clock.h"
 
@@ -19,7 +20,6 @@
 
 namespace {
 
-constexpr std::uint16_t kTablePort = 23971;
 constexpr const char *kTeamKey = "key-1";
 
 class CallerApiTest
@@ -34,7 +34,7 @@
 
     CallerApiTest()
     {
-        server->start("127.0.0.1", kTablePort);
+        server->start("127.0.0.1", tablePort);
         const TeamConfig team{.id = TeamId("team"), .keys = {digestOf(kTeamKey)}, .weight = 1};
         view.config = FleetConfig{.version = {1}, .teams = {team}};
         for (const char *name : {"open", "teams"})
@@ -90,13 +90,14 @@
         return {};
     }
 
+    const std::uint16_t tablePort = test::freePorts(1);
     asio::io_context io;
     Metrics metrics;
     platform::StandinTable table{io, 1};
     std::shared_ptr<CallerServer> server = std::make_shared<CallerServer>(
         io, CallerLimits{}, [this](HttpRequest &request) { return table.handleRequest(request); },
         metrics);
-    platform::TableClient client{io, "127.0.0.1:" + std::to_string(kTablePort), metrics};
+    platform::TableClient client{io, "127.0.0.1:" + std::to_string(tablePort), metrics};
     FleetView view;
     CallerApi api{io, client, view, metrics, Millis(5000)};
 };
--- a/tests/support/forwardingnode.h
+++ b/tests/support/forwardingnode.h
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "freeports.h"
+
 #include "../../src/daemon/metrics.h"
 #include "../../src/http/callerserver.h"
 #include "../../src/http/httpclient.h"
@@ -28,6 +30,10 @@
 /// `serveTable`.
 struct ForwardingNode
 {
+    ForwardingNode(boost::asio::io_context &io, const std::string &name, const std::string &zone,
+                   RequestHandler serveTable)
+        : ForwardingNode(io, name, zone, freePorts(3), std::move(serveTable))
+    {}
     ForwardingNode(boost::asio::io_context &io, const std::string &name, const std::string &zone,
                    std::uint16_t port, RequestHandler serveTable)
         : m_io(io)
