Mend five faults in reading answers, in gangs and in fencing

Cause and change, each found by reading: - One unreadable run made a worker's whole status invalid. Now the readable rows count. Active runs with foreign task names are left out. An unknown outcome is an end that is not done. - An unreadable 409, and any other answer without a meaning, to a start counted as a refusal without effect, and the task started elsewhere at once. Now the run counts as possibly started: the start is repeated and the run then stopped. - A gang that doesn't fit left its job in state Running with a job_started line, and each attempt used up a run number. Now its tasks are restored, and the job starts with the whole gang. - The failures of a gang's tasks were restored as a maximum although they count together. They are added up. - A CPU limit that a worker refused for its fencing token didn't end the term. Now it does, like starts, stops and polls; there is no unit test, as FleetOwner needs a network.

Result: five tests failed before the change (one of the decoder, four of the Scheduler) and pass.

--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -210,6 +210,7 @@
                               const TrackedTask &task, Instant now);
     void startRun(WorkerState &worker, TrackedJob &job, const TaskId &id, std::int64_t number,
                   Instant now, std::vector<SchedulerAction> &out);
+    void noteStarted(TrackedJob &job, Instant now);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
     bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now) const;
--- a/include/oleanderhall/scheduling/workerstatus.h
+++ b/include/oleanderhall/scheduling/workerstatus.h
@@ -51,6 +51,8 @@
     WorkerStartTime started; ///< Of the incarnation that answered.
     std::vector<ActiveRun> running;
     std::vector<EndedRun> ended;
+    bool hasUnreadableActiveRuns = false; ///< Other runs than those of `running` may be active.
+    bool hasUnreadableEnds = false; ///< Other runs than those of `ended` have ended.
 };
 
 } // namespace oleanderhall
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -191,6 +191,7 @@
             const auto self = weak.lock();
             if (!self || self->m_isStopped)
                 return;
+            self->m_isSuperseded = self->m_isSuperseded || result == CallResult::Fenced;
             self->m_scheduler.onCpuLimitResult(command, result, monotonicNow());
             self->scheduleStep();
         });
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -143,7 +143,7 @@
         task.checkpoint = known.checkpoint;
         task.isDone = known.isDone;
         step.doneTasks += known.isDone ? 1 : 0;
-        step.gangFailures = std::max(step.gangFailures, known.failures);
+        step.gangFailures += known.failures;
     }
     job.occurrences.push_back(std::move(occurrence));
 }
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -156,8 +156,10 @@
         worker.nextPoll = now;
         worker.avoidUntil = std::max(worker.avoidUntil, now + kCapacityRetryDelay);
         break;
-    case CallResult::Unhealthy:
     case CallResult::Invalid:
+        run->mayHaveStarted = true; // an unreadable answer shows nothing
+        [[fallthrough]];
+    case CallResult::Unhealthy:
         avoid(worker, nameOf(result), now);
         break;
     case CallResult::NoCapacity:
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -329,6 +329,7 @@
     }
     next = nextRunNumber(next);
     // Places the tasks one by one; if one does not fit, all placements are undone.
+    const std::vector<TrackedTask> before = trackedStep.tasks;
     std::vector<SchedulerAction> starts;
     for (int index = 0; index < static_cast<int>(trackedStep.tasks.size()); ++index) {
         TrackedTask &task = trackedStep.tasks[static_cast<std::size_t>(index)];
@@ -344,12 +345,14 @@
                 unplace(ended, now);
                 m_startWindow.onWithdrawn();
             }
+            trackedStep.tasks = before;
             m_needsPlacement = false;
             return;
         }
         startRun(*worker, job, {job.spec.id, occurrence.number, step, index}, next, now, starts);
     }
     trackedStep.lastGangRun = next;
+    noteStarted(job, now);
     std::move(starts.begin(), starts.end(), std::back_inserter(out));
 }
 
@@ -446,20 +449,27 @@
     if (worker.runs.empty())
         worker.nextPoll = std::max(worker.nextPoll, now + m_settings.pollSpacing);
     worker.runs.push_back(run);
-    if (job.state == JobState::Queued) {
-        job.state = JobState::Running;
-        markLazilyDirty(job, now);
-        const auto waited = std::chrono::duration_cast<Millis>(now - job.accepted);
-        logDecision({"job_started",
-                     {{"job", textOf(id.job)},
-                      {"queue", job.spec.queue.name},
-                      {"waited_ms", std::to_string(waited.count())}},
-                     false,
-                     waited});
-    }
+    if (!spec.isGang) // whose other tasks may not fit
+        noteStarted(job, now);
     out.emplace_back(makeStartCommand(worker, job, worker.runs.back(), now));
 }
 
+/// Records that a task of the job starts.
+void Scheduler::noteStarted(TrackedJob &job, Instant now)
+{
+    if (job.state != JobState::Queued)
+        return;
+    job.state = JobState::Running;
+    markLazilyDirty(job, now);
+    const auto waited = std::chrono::duration_cast<Millis>(now - job.accepted);
+    logDecision({"job_started",
+                 {{"job", textOf(job.spec.id)},
+                  {"queue", job.spec.queue.name},
+                  {"waited_ms", std::to_string(waited.count())}},
+                 false,
+                 waited});
+}
+
 StartCommand Scheduler::makeStartCommand(WorkerState &worker, const TrackedJob &job,
                                          const WorkerRun &run, Instant now)
 {
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -24,7 +24,8 @@
                              Instant now)
 {
     worker.clock.update(status.clock, now);
-    if (!worker.isSynced) {
+    // The unreadable runs may be of tasks that an earlier owner has started.
+    if (!worker.isSynced && !status.hasUnreadableActiveRuns) {
         worker.isSynced = true;
         // An earlier owner may have extended leases until now.
         worker.clock.recordGranted(status.clock
@@ -42,7 +43,8 @@
         handleEndedRun(worker, ended, now);
     for (const ActiveRun &reported : status.running)
         handleActiveRun(worker, reported, now);
-    const bool isComplete = status.ended.size() < kMaxEndsPerStatus;
+    const bool isComplete = status.ended.size() < kMaxEndsPerStatus
+        && !status.hasUnreadableActiveRuns;
     for (std::size_t index = 0; isComplete && index < worker.runs.size();) {
         const WorkerRun run = worker.runs[index];
         const bool isGone = !present.contains({run.task, run.run})
@@ -62,6 +64,9 @@
     adjustCpuLimits(worker, now);
     const bool hasNewEnds = !status.ended.empty();
     worker.nextPoll = hasNewEnds ? now + m_settings.pollSpacing : now;
+    // The worker may answer at once as long as it has ends that can't be acknowledged.
+    if (status.hasUnreadableActiveRuns || status.hasUnreadableEnds)
+        worker.nextPoll = now + m_settings.commandRetryDelay;
 }
 
 void Scheduler::handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now)
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -238,6 +238,29 @@
     survivesDamage(kWorkerStatus, [](const std::string &text) { decodeWorkerStatus(text); });
 }
 
+TEST_CASE("WorkerClient_oneRunUnreadable_theOthersAreRead", "[platform]")
+{
+    // Guards against a worker that is lost to the fleet because of one run of another program.
+    const std::string known = R"(["5c0e7a21d94b36f8.0.1.17",2,"",41])";
+    const auto statusWith = [&](const std::string &active, const std::string &ended) {
+        return decodeWorkerStatus(R"({"clockMs":1,"running":[)" + active + known
+                                  + R"(],"finished":[)" + ended
+                                  + R"([59,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+    };
+    const WorkerStatus foreign = statusWith(R"(["their-task",1,"",5],)", "");
+    CHECK(foreign.running.size() == 1);
+    CHECK_FALSE(foreign.hasUnreadableActiveRuns);
+    const WorkerStatus damaged = statusWith(R"([7,null],["5c0e7a21d94b36f8.0.1.18","x","",5],)",
+                                            R"({"a":1},)");
+    CHECK(damaged.running.size() == 1);
+    CHECK(damaged.hasUnreadableActiveRuns);
+    CHECK(damaged.ended.size() == 1);
+    CHECK(damaged.hasUnreadableEnds);
+    const WorkerStatus later = statusWith("", R"([58,"5c0e7a21d94b36f8.0.1.8",1,"evicted",""],)");
+    REQUIRE(later.ended.size() == 2);
+    CHECK(later.ended[0].runOutcome == RunOutcome::Stopped); // ended, and not done
+}
+
 TEST_CASE("WorkerMessages_withStartTime_tellIncarnationsApart", "[platform]")
 {
     const std::string born = R"({"born":1796383700123,)";
--- a/tests/scheduling/scheduler_test.cpp
+++ b/tests/scheduling/scheduler_test.cpp
@@ -176,3 +176,51 @@
     CHECK(tick<StartCommand>(false).empty());
     CHECK(tick<StartCommand>(true).size() == 2);
 }
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_statusWithUnreadableRuns_endsNoMissingRun",
+                 "[scheduler]")
+{
+    // Guards against a second run of a task whose first one is the unreadable one.
+    syncAllWorkers();
+    submit(makeJob(1, "pool", {makeStep(1, Millis(5000))}));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    confirm(starts);
+    const PollRequest poll = nextPoll(starts[0].worker);
+    scheduler.onPollResult(poll, CallResult::Ok, {.hasUnreadableActiveRuns = true}, now, now);
+    CHECK(tick<StartCommand>().empty());
+    CHECK(tick<PollRequest>().empty()); // not at once, as the worker has not changed
+    answerPoll({.worker = starts[0].worker});
+    CHECK(tick<StartCommand>().size() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_startAnswerUnreadable_stopsTheRunFirst", "[scheduler]")
+{
+    // Guards against two runs of a task: an answer that can't be read, like an internal error of
+    // the worker, doesn't show that the command had no effect.
+    syncAllWorkers();
+    submit(makeJob(1, "pool", {makeStep(1, Millis(100))}));
+    std::vector<StartCommand> starts = tick<StartCommand>();
+    for (int attempt = 0; attempt < SchedulerSettings{}.maxStartAttempts; ++attempt) {
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].run == 1);
+        scheduler.onStartResult(starts[0], CallResult::Invalid, now);
+        advance(Millis(300));
+        if (attempt < 2)
+            starts = tick<StartCommand>();
+    }
+    CHECK(tick<StopCommand>().size() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_inheritedGangFailures_areAddedUp", "[scheduler]")
+{
+    // Guards against more failed runs than the queue allows after a change of owner: the failures
+    // of a gang's tasks count together.
+    StepSpec step = makeStep(2, Millis(100));
+    step.isGang = true;
+    const JobSpec job = makeJob(1, "pool", {step});
+    JobProgress progress{.id = job.id, .isReleased = true};
+    progress.tasks = {{.index = 0, .failures = 1, .endedRuns = {1}},
+                      {.index = 1, .failures = 1, .endedRuns = {2}}};
+    scheduler.addJob(job, progress, true, now);
+    CHECK(scheduler.jobs().at({1}).occurrences[0].steps[0].gangFailures == 2);
+}
--- a/tests/scheduling/schedulerplacement_test.cpp
+++ b/tests/scheduling/schedulerplacement_test.cpp
@@ -40,6 +40,28 @@
         CHECK(command.run == starts[0].run);
 }
 
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_gangDoesNotFit_jobStaysQueuedAndKeepsItsRunNumbers",
+                 "[scheduler]")
+{
+    // Guards against a waiting job that is shown as running, and against run numbers that reach the
+    // range of the next owner after some minutes.
+    syncAllWorkers();
+    StepSpec step = makeStep(17, Millis(100));
+    step.isGang = true;
+    submit(makeJob(1, "pool", {step}));
+    for (int attempt = 0; attempt < 50; ++attempt) {
+        CHECK(tick<StartCommand>().empty());
+        advance(Millis(200));
+    }
+    const TrackedJob &job = scheduler.jobs().at({1});
+    CHECK(job.state == JobState::Queued);
+    CHECK(job.occurrences[0].steps[0].placedTasks == 0);
+    for (const TrackedTask &task : job.occurrences[0].steps[0].tasks)
+        CHECK(task.lastRun == 0);
+    for (const Decision &decision : scheduler.takeDecisions())
+        CHECK(std::string(decision.event) != "job_started");
+}
+
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_queueWithAdvice_asksOnceAndStartsOnlyWithATicket",
                  "[scheduler]")
 {
