--- a/src/scheduling/schedulerspeed.cpp
+++ b/src/scheduling/schedulerspeed.cpp
@@ -59,7 +59,9 @@
 /// Records a run that is overdue, because a slow worker's first ends come late.
 void Scheduler::noteOverdueRun(WorkerState &worker, WorkerRun &run, Instant now)
 {
-    if (!run.showsSpeed || run.runningSince == Instant{})
+    // The last condition spares the search for the step of most runs.
+    if (!run.showsSpeed || run.runningSince == Instant{}
+        || now - run.runningSince < run.expectedRunTime)
         return;
     const std::chrono::duration<double, std::milli> elapsed = now - run.runningSince;
     const TrackedStep *step = findStep(run.task);
