Rename the platform calls of the daemon, which had the names of other types

Cause: src/platform/httpcall.h and src/http/httpclient.h both defined oleanderhall::HttpCall and HttpResult. The linker kept one destructor for both. A new member of the HTTP client's HttpCall made the test of an unrepeatable request without the table end with a segmentation fault. Change: the types of src/platform are PlatformCall and PlatformResponse.

--- a/src/platform/dynamotable.cpp
+++ b/src/platform/dynamotable.cpp
@@ -68,8 +68,8 @@
     return kind == TableWrite::Kind::Delete ? "Delete" : "ConditionCheck";
 }
 
-HttpCall makeCall(const std::string &address, const std::string &operation, const value &body,
-                  Millis timeout)
+PlatformCall makeCall(const std::string &address, const std::string &operation, const value &body,
+                      Millis timeout)
 {
     return {.method = "POST",
             .url = address,
@@ -92,7 +92,7 @@
     return item;
 }
 
-[[noreturn]] void throwTransactionError(const HttpResult &response)
+[[noreturn]] void throwTransactionError(const PlatformResponse &response)
 {
     const value json = value::parse(response.body);
     std::vector<std::size_t> failed;
@@ -135,7 +135,7 @@
     for (std::size_t index = 0; index < writes.size(); ++index)
         items[index][std::string(actionName(writes[index].kind))] = actionBody(writes[index]);
     body["TransactItems"] = items;
-    const HttpResult response = callPlatform(
+    const PlatformResponse response = callPlatform(
         makeCall(m_address, "TransactWriteItems", body, m_timeout));
     if (response.status == kOk)
         return;
--- a/src/platform/httpcall.cpp
+++ b/src/platform/httpcall.cpp
@@ -28,7 +28,7 @@
     return parsed.scheme() + "://" + parsed.host() + ":" + std::to_string(parsed.port());
 }
 
-std::unique_ptr<http_client> clientFor(const HttpCall &call)
+std::unique_ptr<http_client> clientFor(const PlatformCall &call)
 {
     web::http::client::http_client_config config;
     config.set_timeout(call.timeout);
@@ -39,7 +39,8 @@
     }
 }
 
-HttpResult callWithClient(const std::unique_ptr<http_client> &client, const HttpCall &call)
+PlatformResponse callWithClient(const std::unique_ptr<http_client> &client,
+                                const PlatformCall &call)
 {
     try {
         web::http::http_request request(call.method);
@@ -60,25 +61,25 @@
 
 } // namespace
 
-void requireOk(const HttpResult &response, const std::string &url)
+void requireOk(const PlatformResponse &response, const std::string &url)
 {
     if (response.status != kOk)
         throw PlatformUnavailable(url + ": status " + std::to_string(response.status));
 }
 
-HttpResult callPlatform(const HttpCall &call)
+PlatformResponse callPlatform(const PlatformCall &call)
 {
     return callWithClient(clientFor(call), call);
 }
 
-std::string fetchFromPlatform(const HttpCall &call)
+std::string fetchFromPlatform(const PlatformCall &call)
 {
     thread_local std::map<std::string, std::unique_ptr<http_client>> clients;
     std::unique_ptr<http_client> &client = clients[authorityOf(call.url)];
     try {
         if (!client)
             client = clientFor(call);
-        HttpResult response = callWithClient(client, call);
+        PlatformResponse response = callWithClient(client, call);
         requireOk(response, call.url);
         return std::move(response.body);
     } catch (const OutcomeUnknown &error) {
--- a/src/platform/httpobjectstore.cpp
+++ b/src/platform/httpobjectstore.cpp
@@ -14,11 +14,11 @@
 void HttpObjectStore::put(const std::string &key, const std::string &data)
 {
     try {
-        const HttpResult response = callPlatform({.method = "PUT",
-                                                  .url = m_address + "/" + key,
-                                                  .headers = {},
-                                                  .body = data,
-                                                  .timeout = m_timeout});
+        const PlatformResponse response = callPlatform({.method = "PUT",
+                                                        .url = m_address + "/" + key,
+                                                        .headers = {},
+                                                        .body = data,
+                                                        .timeout = m_timeout});
         requireOk(response, m_address + "/" + key);
     } catch (const OutcomeUnknown &error) {
         throw PlatformUnavailable(error.what()); // An unreferenced object is harmless.
--- a/src/platform/workerclient.cpp
+++ b/src/platform/workerclient.cpp
@@ -60,7 +60,7 @@
 void WorkerClient::send(const WorkerCommand &command, const std::string &body)
 {
     const bool isReboot = command.kind == WorkerCommand::Kind::Reboot;
-    const HttpResult response = callPlatform(
+    const PlatformResponse response = callPlatform(
         {.method = isReboot ? "POST" : "PUT",
          .url = urlOf(command.host) + (isReboot ? "/reboot" : "/tasks"),
          .headers = {},
