Rank candidates for ownership by what they can do, and hand over to more capable ones

Cause: a host of 0.12 cores took over while hosts of 0.5 cores lived, because these had been cut off from the table and waited for the owner's lease again. It took over once more after all hosts had lost power, because the term's row held its own name and share. Nothing ended its term. Change: hosts with sufficient processor time announce themselves in rows `candidate/NAME` of the control table, every 30 s, and at once (at most once a second) when the owner is silent or less capable. A host that a known candidate outranks waits 3 s longer, longer still while a candidate announces itself, and at most 8 s in all. An owner that a live candidate outranks, by its size or by the measured lag of its event loop, stops its work and records the hand-over. Two existing tests name the renamed setting; one of them reads the table while it waits, as the wait is now longer than the time after which a process counts as cut off.

--- a/include/oleanderhall/ownership/ownership.h
+++ b/include/oleanderhall/ownership/ownership.h
@@ -2,6 +2,9 @@
 
 #include "oleanderhall/core/ids.h"
 #include "oleanderhall/core/time.h"
+#include "oleanderhall/ownership/candidacytimer.h"
+#include "oleanderhall/ownership/candidate.h"
+#include "oleanderhall/ownership/candidatelist.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,10 +22,6 @@
     double processorCores = 0; ///< The last owner's processor time in cores; 0 if not known.
 };
 
-/// The processor time, in cores, that an owner needs. An owner used up to 0.15 cores with 349 hosts
-/// (docs/CAPACITY.md).
-inline constexpr double kSufficientCores = 0.2;
-
 /// Time limits of ownership, and this process's share of the processor.
 struct OwnershipSettings
 {
@@ -38,14 +37,33 @@
     Millis retryDelay{150}; ///< The delay after a failed renewal or take-over.
     Millis jitter{0}; ///< Added to `lease` before a take-over, so that processes don't collide.
     double processorCores = 1; ///< This process's processor time in cores.
-    /// The extra wait before a take-over by a process that has less processor time than the last
-    /// owner. It is well above the jitter, so that processes with as much processor time as the
-    /// last owner take over first; an owner that can't keep up costs the fleet more than this
-    /// delay.
-    Millis belowOwnerDelay{1500};
-    /// The extra wait of a process below kSufficientCores when the last owner was below it, too. It
+    /// The extra wait before a take-over by a process that a known candidate or the last owner
+    /// outranks. A host that was cut off from the table notices up to 1.9 s later that it answers
+    /// again, and takes over after the lease, the jitter and one attempt.
+    Millis outrankedDelay{3000};
+    /// The longest time from the owner's last sign of life to a take-over by an outranked process
+    /// while more capable candidates announce themselves without taking over.
+    Millis maxOutrankedWait{8000};
+    /// Time that a candidate gets after its announcement, beyond the lease and the jitter, to write
+    /// its take-over to a slow table.
+    Millis announcedTakeOverTime{700};
+    /// The extra wait of a process below kSufficientCores in a deployment without an owner so far:
+    /// larger hosts that start at the same time announce themselves within this time.
+    Millis firstTermDelay{1500};
+    /// The extra wait of a process below kSufficientCores that nobody is known to outrank. It
     /// equals the longest jitter.
     Millis fewCoresDelay{300};
+    Millis maxJitter{300}; ///< The longest `jitter` of any process.
+    /// The shortest term that a process ends because a more capable candidate is alive.
+    Millis minTermIfOutranked{2000};
+    /// The shortest term that an owner ends because it can't keep up: loading the jobs makes every
+    /// owner lag at first, and this bounds the number of hand-overs to three a minute.
+    Millis minTermIfBehind{20000};
+    /// How long an owner that couldn't keep up counts as such after the hand-over, as its lag
+    /// vanishes with the owner's work.
+    Millis behindDuration{60000};
+    /// An owner hands over only to a candidate whose announcement was read at most this long ago.
+    Millis maxAnnouncementAge{3000};
     /// If the time between two answers of the table is longer than this, this process had no
     /// contact with the table and may have missed renewals, so it waits for the owner's lease time
     /// again before a take-over. The value exceeds the duration of one long poll without changes,
@@ -61,7 +79,12 @@
 public:
     Ownership(std::string self, OwnershipSettings settings, Instant now);
 
-    enum class Step { None, TakeOver, Renew };
+    enum class Step {
+        None,
+        TakeOver,
+        Renew,
+        HandOver, ///< A more capable candidate is alive: stop all work, then record the hand-over.
+    };
     /// Returns the call to send now. Returns None until the result of the last call was passed to
     /// onTakeOverResult() or onRenewResult().
     Step nextStep(Instant now);
@@ -73,6 +96,22 @@
     /// Handles the result of a renewal. `isLost` means that the term's row has changed, so another
     /// process is the owner.
     void onRenewResult(bool isDone, bool isLost, std::uint64_t version, Instant sent, Instant now);
+    /// Handles the announcement of a candidate; see CandidateList::onAnnouncement().
+    void onAnnouncement(const std::string &name, const Candidate &candidate, std::uint64_t version,
+                        bool isFresh, Instant now)
+    {
+        m_candidates.onAnnouncement(name, candidate, version, isFresh, now);
+    }
+    /// Sets the measured average lag of this process's event loop.
+    void setLoopLag(Millis lag) { m_loopLag = lag; }
+    /// Returns whether to announce this process in the table now.
+    bool isAnnouncementDue(Instant now) const;
+    void onAnnounced(Instant now) { m_candidacyTimer.onAnnounced(candidate(now), now); }
+    /// Returns this process as a candidate.
+    Candidate candidate(Instant now) const;
+    /// Ends this process's term before the record of a hand-over is sent. It doesn't take over
+    /// again before others had their chance.
+    void relinquish(Instant now);
     /// Prevents further take-overs by this process, as before a planned stop.
     void resign() { m_isEligible = false; }
 
@@ -87,16 +126,22 @@
     {
         return m_isOwner && now < m_lastRenewal + m_settings.leaseExtensionTime;
     }
+    /// Returns the number of processes that have announced themselves.
+    std::size_t candidateCount() const { return m_candidates.size(); }
     const TermRecord &term() const { return m_term; }
     std::uint64_t heartbeatVersion() const { return m_heartbeatVersion; }
     /// Returns whether the owner's term or heartbeat has changed within the lease time.
     bool isOwnerAlive(Instant now) const { return now - m_lastChange <= m_settings.lease; }
 
 private:
-    Millis takeOverDelay() const;
+    Instant takeOverTime(Instant now) const;
+    bool isOutrankedAsCandidate(Instant now) const;
+    bool isHandOverDue(Instant now) const;
 
     std::string m_self;
     OwnershipSettings m_settings;
+    CandidateList m_candidates;
+    CandidacyTimer m_candidacyTimer;
     TermRecord m_term;
     std::uint64_t m_heartbeatVersion = 0;
     bool m_wasRead = false;
@@ -109,6 +154,9 @@
     Instant m_lastContact; ///< When the rows were last read.
     Instant m_lastRenewal; ///< When the last successful renewal was sent.
     Instant m_nextAttempt;
+    Instant m_termStart; ///< When this process took over.
+    Millis m_loopLag{0};
+    Instant m_behindUntil{}; ///< Until when this process counts as behind after a hand-over.
 };
 
 } // namespace oleanderhall
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -3,6 +3,7 @@
 #include "fleetnode.h"
 
 #include "callerapi.h"
+#include "candidaterow.h"
 #include "fleetowner.h"
 #include "fleetview.h"
 #include "storednames.h"
@@ -15,6 +16,7 @@
 #include "../http/callerserver.h"
 
 #include "oleanderhall/core/clock.h"
+#include "oleanderhall/ownership/eventlooplag.h"
 #include "oleanderhall/ownership/ownership.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -151,6 +153,8 @@
             co_return Reply{.status = kNotFound};
         m_metrics.gauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
         m_metrics.gauge("is_owner", m_ownership.isOwner() ? 1 : 0);
+        m_metrics.gauge("event_loop_lag_ms", static_cast<double>(m_loopLag.average().count()));
+        m_metrics.gauge("candidates_known", static_cast<double>(m_ownership.candidateCount()));
         m_metrics.gauge("caller_connections", m_callerServer->connectionCount());
         m_metrics.gauge("configuration_age_ms",
                         static_cast<double>(m_view.accessLease.age(monotonicNow()).count()));
@@ -199,6 +203,8 @@
             }
             if (row.key.starts_with(kHandledHostsPrefix))
                 applyHandledHosts(m_view, row);
+            if (row.key.starts_with(kCandidatePrefix) && !row.isDeleted)
+                applyCandidate(row, !update.isSnapshot);
         }
         const bool wasOwner = m_ownership.isOwner();
         m_ownership.onRecordsRead(term, heartbeat, monotonicNow());
@@ -206,6 +212,13 @@
             endTerm();
     }
 
+    void applyCandidate(const platform::TableRow &row, bool isFresh)
+    {
+        if (const auto candidate = decodeCandidate(row))
+            m_ownership.onAnnouncement(row.key.substr(kCandidatePrefix.size()), *candidate,
+                                       row.version, isFresh, monotonicNow());
+    }
+
     void applyOperatorUpdate(const TableWatcher::Update &update)
     {
         recordContact(update);
@@ -220,6 +233,7 @@
     void checkOwnership()
     {
         const Instant now = monotonicNow();
+        measureLoopLag(now);
         if (m_owner && (m_owner->isSuperseded() || !m_ownership.isOwner())) {
             m_ownership.onRenewResult(false, true, 0, now, now);
             endTerm();
@@ -231,9 +245,15 @@
         case Ownership::Step::Renew:
             renew();
             break;
+        case Ownership::Step::HandOver:
+            handOver(m_ownership.candidate(now).isBehind() ? "behind" : "outranked");
+            break;
         case Ownership::Step::None:
             break;
         }
+        if (m_ownership.isAnnouncementDue(now))
+            announce(now);
+        m_nextOwnershipCheck = monotonicNow() + kOwnershipCheckInterval;
         m_ownershipTimer.expires_after(kOwnershipCheckInterval);
         m_ownershipTimer.async_wait([this](const boost::system::error_code &error) {
             if (!error)
@@ -241,6 +261,31 @@
         });
     }
 
+    void measureLoopLag(Instant now)
+    {
+        if (m_nextOwnershipCheck != Instant())
+            m_loopLag.record(m_nextOwnershipCheck, now);
+        const bool wasBehind = m_ownership.candidate(now).isBehind();
+        m_ownership.setLoopLag(m_loopLag.average());
+        const bool isBehind = m_ownership.candidate(now).isBehind();
+        if (wasBehind != isBehind)
+            logEvent(isBehind ? "event_loop_behind" : "event_loop_caught_up", isBehind,
+                     {{"lag_ms", std::to_string(m_loopLag.average().count())},
+                      {"owner", m_ownership.isOwner() ? "true" : "false"}});
+    }
+
+    /// Announces this process as a candidate for ownership. A lost announcement is repeated at the
+    /// next interval.
+    void announce(Instant now)
+    {
+        m_ownership.onAnnounced(now);
+        m_metrics.count("candidacy_announcements_total");
+        platform::Transaction transaction{.partition = kControlPartition};
+        transaction.writes.push_back(
+            encodeCandidate(m_settings.id.name(), m_ownership.candidate(now)));
+        m_table.transact(transaction, kControlTimeout, [](const platform::TransactionResult &) {});
+    }
+
     void takeOver()
     {
         const TermRecord term = m_ownership.term();
@@ -323,7 +368,8 @@
     {
         logInfo("stopping", {{"owner", m_ownership.isOwner() ? "true" : "false"}});
         m_isShuttingDown = true;
-        handOver();
+        m_ownership.resign();
+        handOver("stopping");
         m_shutdownTimer.expires_after(kUnreadyPeriod);
         m_shutdownTimer.async_wait([this](const boost::system::error_code &) {
             m_callerServer->drain();
@@ -334,24 +380,25 @@
         });
     }
 
-    void handOver()
+    /// Ends all work as the owner, then records that the ownership is vacant.
+    void handOver(const char *reason)
     {
-        const bool wasOwner = m_ownership.isOwner();
-        const TermRecord term = m_ownership.term();
-        m_ownership.resign();
-        if (!wasOwner)
+        if (!m_ownership.isOwner())
             return;
+        const TermRecord term = m_ownership.term();
         endTerm();
-        m_ownership.onRenewResult(false, true, 0, monotonicNow(), monotonicNow());
+        m_ownership.relinquish(monotonicNow());
+        m_metrics.count("ownership_handed_over_total");
         platform::Transaction transaction{.partition = kControlPartition};
         transaction.preconditions.push_back({kControlTable, kTermKey, term.version});
         transaction.writes.push_back(
             {kControlTable, kTermKey,
              encodeTerm({.generation = term.generation, .processorCores = term.processorCores})});
         m_table.transact(
-            transaction, kControlTimeout, [](const platform::TransactionResult &result) {
+            transaction, kControlTimeout, [reason](const platform::TransactionResult &result) {
                 logInfo("ownership_handed_over",
-                        {{"done",
+                        {{"reason", reason},
+                         {"done",
                           result.outcome == platform::TransactionResult::Outcome::Done ? "true"
                                                                                        : "false"}});
             });
@@ -375,6 +422,8 @@
     FleetView m_view;
     CallerApi m_api;
     Ownership m_ownership;
+    EventLoopLag m_loopLag;
+    Instant m_nextOwnershipCheck{};
     std::shared_ptr<FleetOwner> m_owner;
     std::shared_ptr<CallerServer> m_callerServer;
     std::shared_ptr<CallerServer> m_healthServer;
--- a/tests/ownership/ownership_test.cpp
+++ b/tests/ownership/ownership_test.cpp
@@ -172,7 +172,7 @@
     wait(settings.lease);
     CHECK(fewCores.nextStep(now) == Ownership::Step::None);
     CHECK(manyCores.nextStep(now) == Ownership::Step::TakeOver);
-    wait(settings.belowOwnerDelay);
+    wait(settings.outrankedDelay);
     CHECK(fewCores.nextStep(now) == Ownership::Step::TakeOver); // no other process has taken over
 }
 
@@ -182,7 +182,11 @@
     Ownership fewCores{"fewCores", settings, now};
     fewCores.onRecordsRead({.generation = 1, .version = 7, .processorCores = 0.5}, 10, now);
     CHECK(fewCores.nextStep(now) == Ownership::Step::None);
-    advance(settings.belowOwnerDelay);
+    while (now < Instant(std::chrono::hours(1)) + settings.outrankedDelay) {
+        CHECK(fewCores.nextStep(now) == Ownership::Step::None);
+        advance(Millis(500));
+        fewCores.onRecordsRead({.generation = 1, .version = 7, .processorCores = 0.5}, 10, now);
+    }
     CHECK(fewCores.nextStep(now) == Ownership::Step::TakeOver);
 }
 
