Start tasks only on recent knowledge of the cancellations, and check permissions when writing

Cause: a task started 4.0 s after the acknowledged cancellation of its job, by an owner on a host of 0.12 cores that had read the job table seconds before. Commands were checked against the lease when they were decided, then queued for up to 350 ms (hosts: 1.5 s), while the margin of the lease is 250 ms; a paused process sent them after its lease had expired. Change: StartGate (no I/O) allows starts only while the last read of the cancellations was sent at most cancel-ms less 0.8 s ago. While it is closed, the Scheduler polls and extends leases but starts nothing. The lease of each start command expires at the worker no later than the gate's bound, on a lower bound of the worker's clock, so a command that is carried out late is refused. Idle workers are polled every 30 s to know their clocks. The HTTP client asks for permission immediately before it writes a command or poll: the lease, and for starts the gate. A denied call ends as Withheld, and its task is placed again later. The long poll of the job table waits 600 ms instead of 1 s, so that the age stays small without changes. HTTP client tests: a permission that lapses in the queue or while connecting leaves the server with 0 requests.

--- a/include/oleanderhall/scheduling/callresult.h
+++ b/include/oleanderhall/scheduling/callresult.h
@@ -6,6 +6,7 @@
 enum class CallResult {
     Ok,
     NotSent, ///< No connection; the command had no effect.
+    Withheld, ///< Not sent, as it was no longer permitted by then; it had no effect.
     Unknown, ///< No answer; the command may have been executed, or may be executed later.
     OtherIncarnation, ///< A later incarnation answered; the intended one has terminated.
     Fenced, ///< The worker has accepted a higher fencing token.
--- a/include/oleanderhall/scheduling/leaseclock.h
+++ b/include/oleanderhall/scheduling/leaseclock.h
@@ -20,6 +20,11 @@
     void update(Millis clock, Instant receivedAt);
     /// Returns the worker's clock at `now`, extrapolated from the last observation without drift.
     Millis estimatedTime(Instant now) const;
+    /// Returns a lower bound of the worker's clock at `now`, for a clock that runs slow by the
+    /// configured drift.
+    Millis earliestTime(Instant now) const;
+    /// Returns how long ago the clock was last observed.
+    Millis age(Instant now) const { return std::chrono::duration_cast<Millis>(now - m_observedAt); }
     /// Records that a command was sent whose lease expires at `expiry` on the worker's clock.
     void recordGranted(Millis expiry);
     /// Records that the worker has accepted a lease that expires at `expiry`.
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -13,6 +13,7 @@
 #include "oleanderhall/scheduling/runtimemodel.h"
 #include "oleanderhall/scheduling/scheduleraction.h"
 #include "oleanderhall/scheduling/schedulersettings.h"
+#include "oleanderhall/scheduling/startgate.h"
 #include "oleanderhall/scheduling/ticketcache.h"
 #include "oleanderhall/scheduling/trackedjob.h"
 #include "oleanderhall/scheduling/workerstate.h"
@@ -48,6 +49,9 @@
     void addJob(JobSpec spec, const JobProgress &progress, bool isInherited, Instant accepted);
     /// Cancels a job and stops its runs. Does nothing for an unknown or ended job.
     void cancel(JobId id, Instant now);
+    /// Sets which start commands are permitted: none are returned by tick() while the gate is
+    /// closed, and no worker carries one out after StartGate::latestStart().
+    void setStartGate(const StartGate &gate) { m_startGate = gate; }
     /// Cordons exactly these workers: they get no new tasks.
     void cordon(const std::set<WorkerId> &workers);
     /// Sets whether a host command that ends all runs of the worker is in flight. A command that
@@ -227,6 +231,7 @@
     bool m_needsPlacement = true; ///< Something changed since the last placement.
     Instant m_lastPlacement;
     CongestionWindow m_startWindow; ///< Limits the start commands in flight.
+    StartGate m_startGate;
     PoolId m_firstPool; ///< The pool whose tasks are placed first next time.
     RunTimeModel m_runTimes;
     /// When the first list of hosts of this term was requested.
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -37,6 +37,17 @@
 
 } // namespace
 
+bool HttpClient::isPermitted(const Pending &pending)
+{
+    return !pending.call.isPermitted || pending.call.isPermitted();
+}
+
+HttpResult::Outcome HttpClient::withheldOutcome(const Pending &pending)
+{
+    // A retried call has been sent before.
+    return pending.isRetry ? HttpResult::Outcome::Unknown : HttpResult::Outcome::Withheld;
+}
+
 struct HttpClient::Connection
 {
     explicit Connection(asio::io_context &io)
@@ -107,6 +118,10 @@
             pending.done({.outcome = HttpResult::Outcome::NotSent, .sent = pending.sent});
             continue;
         }
+        if (!isPermitted(pending)) {
+            pending.done({.outcome = withheldOutcome(pending), .sent = pending.sent});
+            continue;
+        }
         chosen->isBusy = true;
         chosen->pending = std::move(pending);
         if (chosen->isOpen)
@@ -136,7 +151,10 @@
             // Resets the connection when it is closed. A graceful close would let the kernel go on
             // sending a call that has timed out.
             connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-            self->write(connection);
+            if (isPermitted(connection->pending))
+                self->write(connection);
+            else
+                self->finish(connection, {.outcome = withheldOutcome(connection->pending)}, true);
         });
 }
 
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -28,6 +28,9 @@
     Millis timeout{1000}; ///< From send() to the end of the response.
     /// If a reused connection fails, the call may be sent a second time, on another connection.
     bool isRetryable = false;
+    /// Called immediately before the request is written; if it returns false, the call ends as
+    /// Withheld. Without a function, the request is always written.
+    std::function<bool()> isPermitted;
 };
 
 /// Internal: the outcome of an HttpCall and, if there was one, the response.
@@ -36,6 +39,7 @@
     enum class Outcome {
         Responded,
         NotSent, ///< No connection was established; the server has received nothing.
+        Withheld, ///< HttpCall::isPermitted returned false; the server has received nothing.
         Unknown, ///< May have been sent; the connection failed or timed out before the response.
     };
     Outcome outcome = Outcome::Unknown;
@@ -75,6 +79,8 @@
         bool isRetry = false;
     };
 
+    static bool isPermitted(const Pending &pending);
+    static HttpResult::Outcome withheldOutcome(const Pending &pending);
     void dispatchQueued();
     void connect(const std::shared_ptr<Connection> &connection);
     void write(const std::shared_ptr<Connection> &connection);
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace oleanderhall {
@@ -44,6 +45,7 @@
     , m_metrics(metrics)
     , m_term(ownership.term())
     , m_scheduler(schedulerSettings(settings), m_term.generation - 1, monotonicNow())
+    , m_startGate(settings.cancelTimeout)
     , m_workerClient(io, metrics, m_term.version)
     , m_stepTimer(io)
 {
@@ -59,6 +61,7 @@
     logInfo("ownership_taken",
             {{"token", std::to_string(m_term.version)},
              {"generation", std::to_string(m_term.generation)}});
+    permitCalls();
     viewChanged();
     m_tokenRowVersions.resize(kJobPartitions);
     m_partitionsToRead = kJobPartitions;
@@ -126,6 +129,8 @@
     if (m_isLoaded && m_areWorkersListed && m_ownership.mayExtendLeases(now)) {
         if (m_hostController && m_ownership.maySendCommands(now))
             m_hostController->step(now);
+        m_scheduler.setStartGate(m_startGate);
+        logHeldStarts(now);
         std::vector<SchedulerAction> actions = m_scheduler.tick(now, wallClockMs(),
                                                                 m_ownership.maySendCommands(now));
         dispatch(actions);
@@ -142,6 +147,17 @@
     });
 }
 
+void FleetOwner::logHeldStarts(Instant now)
+{
+    if (m_areStartsHeld != m_startGate.mayStart(now))
+        return;
+    m_areStartsHeld = !m_areStartsHeld;
+    if (m_areStartsHeld)
+        logWarning("starts_held", {{"reason", "the cancellations were read too long ago"}});
+    else
+        logInfo("starts_resumed");
+}
+
 void FleetOwner::logDecisions()
 {
     for (const Decision &decision : m_scheduler.takeDecisions()) {
@@ -152,8 +168,40 @@
     }
 }
 
+/// Has the lease, and for starts the age of the facts, checked when a call to a worker is written:
+/// it may have been queued, or this process paused, since the call was decided.
+void FleetOwner::permitCalls()
+{
+    m_workerClient.setPermission([weak = weak_from_this()](platform::WorkerClient::CallKind kind) {
+        const auto self = weak.lock();
+        return self && !self->m_isStopped && self->isPermitted(kind);
+    });
+}
+
+bool FleetOwner::isPermitted(platform::WorkerClient::CallKind kind) const
+{
+    using Kind = platform::WorkerClient::CallKind;
+    const Instant now = monotonicNow();
+    if (kind == Kind::Poll)
+        return m_ownership.mayExtendLeases(now);
+    if (!m_ownership.maySendCommands(now)) {
+        m_metrics.count("commands_withheld_lease_total");
+        return false;
+    }
+    if (kind == Kind::Start && !m_startGate.mayStart(now)) {
+        m_metrics.count("starts_withheld_old_facts_total");
+        return false;
+    }
+    return true;
+}
+
+/// Sends starts last, so that an owner that falls behind first does the work that upholds
+/// guarantees.
 void FleetOwner::dispatch(std::vector<SchedulerAction> &actions)
 {
+    std::stable_partition(actions.begin(), actions.end(), [](const SchedulerAction &action) {
+        return !std::holds_alternative<StartCommand>(action);
+    });
     for (const SchedulerAction &action : actions)
         std::visit([this](const auto &request) { send(request); }, action);
 }
--- a/src/node/fleetowner.h
+++ b/src/node/fleetowner.h
@@ -57,6 +57,8 @@
     void applyJobs(const TableWatcher::Update &update);
     void watchWorkers();
     void applyWorkers(const TableWatcher::Update &update);
+    void permitCalls();
+    bool isPermitted(platform::WorkerClient::CallKind kind) const;
     void dispatch(std::vector<SchedulerAction> &actions);
     void send(const StartCommand &command);
     void send(const StopCommand &command);
@@ -69,6 +71,7 @@
     void scheduleStep();
     void step();
     void logDecisions();
+    void logHeldStarts(Instant now);
     std::string addressOf(WorkerId worker) const;
 
     boost::asio::io_context &m_io;
@@ -79,6 +82,7 @@
     Metrics &m_metrics;
     TermRecord m_term;
     Scheduler m_scheduler;
+    StartGate m_startGate;
     platform::WorkerClient m_workerClient;
     std::unique_ptr<platform::AdviceClient> m_adviceClient;
     std::shared_ptr<HostController> m_hostController;
@@ -99,6 +103,7 @@
     bool m_areWorkersListed = false;
     bool m_isStopped = false;
     bool m_isSuperseded = false;
+    bool m_areStartsHeld = false; ///< The cancellations were read too long ago.
 };
 
 } // namespace oleanderhall
--- a/src/node/fleetownerloading.cpp
+++ b/src/node/fleetownerloading.cpp
@@ -19,7 +19,8 @@
 constexpr Millis kWorkerPollSpacing{100}; // one poll returns the heartbeats of this period
 constexpr Millis kReadTimeout{1500};
 constexpr Millis kFencingTimeout{2500};
-constexpr Millis kJobLongPoll{1000};
+// Starts need a recent read of the cancellations also while nothing changes.
+constexpr Millis kJobLongPoll{600};
 constexpr Millis kJobPollSpacing{20}; // one poll returns all jobs that were stored in this period
 
 } // namespace
@@ -155,6 +156,7 @@
     m_inheritedProgress.clear();
     for (const JobId id : cancelled)
         m_scheduler.cancel(id, now);
+    m_startGate.onCancellationsRead(update.sentAt);
     m_isLoaded = true;
     scheduleStep();
 }
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -87,6 +87,10 @@
 
 void HostController::start()
 {
+    m_client.setPermission([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && !self->m_isStopped && self->m_ownership.maySendCommands(monotonicNow());
+    });
     readHostList();
     readRecordedCommands();
 }
--- a/src/scheduling/callresult.cpp
+++ b/src/scheduling/callresult.cpp
@@ -9,6 +9,8 @@
         return "ok";
     case CallResult::NotSent:
         return "not_sent";
+    case CallResult::Withheld:
+        return "withheld";
     case CallResult::Unknown:
         return "outcome_unknown";
     case CallResult::OtherIncarnation:
--- a/src/scheduling/leaseclock.cpp
+++ b/src/scheduling/leaseclock.cpp
@@ -19,6 +19,12 @@
     return m_observedTime + std::chrono::duration_cast<Millis>(now - m_observedAt);
 }
 
+Millis LeaseClock::earliestTime(Instant now) const
+{
+    const auto elapsed = std::chrono::duration<double, std::milli>(now - m_observedAt);
+    return m_observedTime + Millis(static_cast<Millis::rep>(elapsed.count() * (1 - m_drift)));
+}
+
 void LeaseClock::recordGranted(Millis expiry)
 {
     m_grantedExpiry = std::max(m_grantedExpiry, expiry);
@@ -31,12 +37,7 @@
 
 bool LeaseClock::allLeasesExpired(Instant now, Millis slack) const
 {
-    if (!m_isKnown)
-        return false;
-    const auto elapsed = std::chrono::duration<double, std::milli>(now - m_observedAt);
-    const auto earliest = m_observedTime
-        + Millis(static_cast<Millis::rep>(elapsed.count() * (1 - m_drift)));
-    return earliest > m_grantedExpiry + slack;
+    return m_isKnown && earliestTime(now) > m_grantedExpiry + slack;
 }
 
 } // namespace oleanderhall
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -112,7 +112,10 @@
 {
     if (!m_startWindow.isOpen())
         m_needsPlacement = true;
-    m_startWindow.onCompleted(result != CallResult::Unknown && result != CallResult::NotSent);
+    if (result == CallResult::Withheld)
+        m_startWindow.onWithdrawn();
+    else
+        m_startWindow.onCompleted(result != CallResult::Unknown && result != CallResult::NotSent);
     const auto [answering, run] = updateCommandedRun(command.worker, command.task, command.run,
                                                      result, now);
     if (!run)
@@ -138,6 +141,8 @@
         run->mayHaveStarted = true;
         worker.nextPoll = now; // one lost answer does not prove a fault; the poll shows more
         break;
+    case CallResult::Withheld:
+        break;
     case CallResult::NotSent:
         worker.nextPoll = now;
         worker.avoidUntil = std::max(worker.avoidUntil, now + kCapacityRetryDelay);
@@ -213,6 +218,10 @@
     worker.isPollInFlight = false;
     if (worker.hasTerminated)
         return; // a late answer
+    if (result == CallResult::Withheld) {
+        worker.nextPoll = now + m_settings.commandRetryDelay;
+        return;
+    }
     if (result != CallResult::Ok) {
         ++worker.failedPolls;
         constexpr int kMaxBackoffFactor = 4;
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -455,7 +455,10 @@
     if (job.spec.queue.advice)
         command.ticket = m_tickets.find({run.task.job, run.task.occurrence, run.task.step},
                                         worker.info.id, now);
-    command.leaseExpiry = worker.clock.estimatedTime(now) + m_settings.workerLease;
+    // A worker refuses a start whose lease has expired, however late the command arrives.
+    const auto timeToStart = std::chrono::duration_cast<Millis>(m_startGate.latestStart() - now);
+    command.leaseExpiry = std::min(worker.clock.estimatedTime(now) + m_settings.workerLease,
+                                   worker.clock.earliestTime(now) + timeToStart);
     worker.clock.recordGranted(command.leaseExpiry);
     m_startWindow.onSent();
     return command;
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -10,6 +10,9 @@
 constexpr Millis kLeaseExpirySlack{150}; // added to the worker's time to stop expired runs
 constexpr Millis kStatusLifetimeSlack{30000}; // added to the time for which a state stays readable
 constexpr Millis kMixedPollWait{700}; // if serving runs share the worker with runs on idle cores
+// An idle worker is polled when its clock was not observed for this long, so that the time by which
+// it must have carried out a start is known within 600 ms.
+constexpr Millis kMaxClockAge{30000};
 constexpr Millis kIdleTickInterval{250};
 constexpr Millis kBusyTickInterval{50};
 
@@ -24,7 +27,8 @@
     if (maySendCommands) {
         for (auto &[id, worker] : m_workers)
             sendCommands(worker, now, out);
-        place(now, out);
+        if (m_startGate.mayStart(now))
+            place(now, out);
         writeProgress(now, out);
     }
     for (auto &[id, worker] : m_workers)
@@ -74,6 +78,8 @@
             run.isCommandInFlight = true;
             out.emplace_back(StopCommand{worker.info.id, run.task, run.run});
         } else if (run.phase == WorkerRun::Phase::Starting && run.startAttempts > 0) {
+            if (!m_startGate.mayStart(now))
+                continue;
             const auto job = m_jobs.find(run.task.job);
             if (job == m_jobs.end() || isFinal(job->second.state)) {
                 requestStop(run, now);
@@ -92,7 +98,8 @@
         return;
     const bool hasUnrecorded = worker.lastHandledEnd > worker.lastRecordedEnd;
     const bool hasUnacknowledged = worker.lastRecordedEnd > worker.lastAcknowledgedEnd;
-    if (worker.isSynced && worker.runs.empty() && !hasUnacknowledged && worker.failedPolls == 0)
+    if (worker.isSynced && worker.runs.empty() && !hasUnacknowledged && worker.failedPolls == 0
+        && worker.clock.age(now) < kMaxClockAge)
         return;
     // A worker reports ended runs until they are acknowledged, and they are acknowledged only once
     // their record is durable. A poll before that would return the same ends at once.
--- a/tests/http/httpclient_test.cpp
+++ b/tests/http/httpclient_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <future>
 #include <optional>
+#include <thread>
 
 using namespace oleanderhall;
 using test::FakeUpstream;
@@ -79,3 +80,35 @@
     CHECK(upstream.requestCount() == 1);
     CHECK(client->connectionsOpened() == 1);
 }
+
+TEST_CASE_METHOD(HttpClientTest, "HttpClient_permissionLapsedInTheQueue_writesNothing", "[http]")
+{
+    // Guards against commands of an owner that was paused between the decision and the writing.
+    const Instant expiry = std::chrono::steady_clock::now() + Millis(100);
+    client->send({.method = "POST",
+                  .target = "/",
+                  .timeout = Millis(5000),
+                  .isPermitted = [expiry] { return std::chrono::steady_clock::now() < expiry; }},
+                 [this](const HttpResult &result) { outcomes.push_back(result.outcome); });
+    std::this_thread::sleep_for(Millis(200));
+    io.run();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0] == HttpResult::Outcome::Withheld);
+    CHECK(upstream.requestCount() == 0);
+}
+
+TEST_CASE_METHOD(HttpClientTest, "HttpClient_permissionLapsesWhileConnecting_writesNothing",
+                 "[http]")
+{
+    int asked = 0;
+    client->send({.method = "POST",
+                  .target = "/",
+                  .timeout = Millis(5000),
+                  .isPermitted = [&asked] { return ++asked == 1; }},
+                 [this](const HttpResult &result) { outcomes.push_back(result.outcome); });
+    io.run();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0] == HttpResult::Outcome::Withheld);
+    CHECK(asked == 2);
+    CHECK(upstream.requestCount() == 0);
+}
