--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -1,5 +1,6 @@
 #include "fleetowner.h"
 
+#include "callpermission.h"
 #include "storednames.h"
 
 #include "../daemon/log.h"
@@ -180,19 +181,13 @@
 
 bool FleetOwner::isPermitted(platform::WorkerClient::CallKind kind) const
 {
-    using Kind = platform::WorkerClient::CallKind;
-    const Instant now = monotonicNow();
-    if (kind == Kind::Poll)
-        return m_ownership.mayExtendLeases(now);
-    if (!m_ownership.maySendCommands(now)) {
-        m_metrics.count("commands_withheld_lease_total");
-        return false;
-    }
-    if (kind == Kind::Start && !m_startGate.mayStart(now)) {
+    const CallPermission permission = callPermission(kind, m_ownership, m_startGate,
+                                                     monotonicNow());
+    if (permission == CallPermission::LeaseExpired)
+        m_metrics.count("calls_withheld_lease_total");
+    if (permission == CallPermission::FactsTooOld)
         m_metrics.count("starts_withheld_old_facts_total");
-        return false;
-    }
-    return true;
+    return permission == CallPermission::Granted;
 }
 
 /// Sends starts last, so that an owner that falls behind first does the work that upholds
--- a/tests/ownership/takeover_test.cpp
+++ b/tests/ownership/takeover_test.cpp
@@ -241,3 +241,26 @@
     std::cout << "a large host restarts every 4 s: " << changes << " changes a minute\n";
     CHECK(changes <= 15);
 }
+
+TEST_CASE_METHOD(TakeOverTest, "TakeOver_ownersPausedAndHandingOver_neverLetsTwoSend",
+                 "[ownership]")
+{
+    // Guards against two processes that are active around a change of owner, and against an owner
+    // that sends commands after a pause of 1 to 8 s.
+    for (int round = 0; round < kRounds; ++round) {
+        random.seed(static_cast<unsigned>(round));
+        world = {};
+        addHosts("small", 5, kSmall);
+        world.runUntil(Millis(4000));
+        addHosts("large", 3, kLarge);
+        std::size_t changes = 0;
+        for (int pause = 0; pause < 5; ++pause) {
+            world.runUntil(world.time() + Millis(3000) + upTo(2000));
+            if (!world.owner().empty())
+                world.pause(world.owner(), world.time(), world.time() + Millis(1000) + upTo(7000));
+            changes = world.changes().size();
+        }
+        CHECK(changes > 3);
+        CHECK(world.mostSenders() == 1);
+    }
+}
--- a/tests/support/ownershipworld.h
+++ b/tests/support/ownershipworld.h
@@ -43,6 +43,12 @@
     {
         m_outages.push_back({from, until, std::move(names)});
     }
+    /// The process does nothing between `from` and `until`; its calls in flight go on.
+    void pause(const std::string &name, Millis from, Millis until)
+    {
+        m_processes.at(name).pausedFrom = from;
+        m_processes.at(name).pausedUntil = until;
+    }
     void kill(const std::string &name) { m_processes.at(name).ownership.reset(); }
     /// Starts the process anew at `at`.
     void restart(const std::string &name, Millis at)
@@ -72,14 +78,23 @@
     {
         for (; m_time < end; m_time += kStep) {
             applyLateHandOver();
-            for (auto &[name, process] : m_processes)
+            int senders = 0;
+            for (auto &[name, process] : m_processes) {
+                if (m_time >= process.pausedFrom && m_time < process.pausedUntil)
+                    continue;
+                // What a resumed process may do before it has handled any event.
+                senders += process.ownership && process.ownership->maySendCommands(instant(m_time));
                 step(name, process);
+            }
+            m_mostSenders = std::max(m_mostSenders, senders);
         }
     }
 
     const std::string &owner() const { return m_term.owner; }
     double ownerCores() const { return m_processes.at(m_term.owner).settings.processorCores; }
     const std::vector<Change> &changes() const { return m_changes; }
+    /// Returns the largest number of processes that could send commands at one time.
+    int mostSenders() const { return m_mostSenders; }
     Millis time() const { return m_time; }
 
 private:
@@ -96,6 +111,8 @@
         Millis pollSent{0};
         bool isPollLost = false;
         std::uint64_t seenVersion = 0;
+        Millis pausedFrom{0};
+        Millis pausedUntil{0};
         std::optional<Millis> writeFails; ///< When the write in flight times out.
         Ownership::Step write = Ownership::Step::None;
     };
@@ -229,6 +246,7 @@
     }
 
     Millis m_time{0};
+    int m_mostSenders = 0;
     Millis m_ownersLag{0};
     std::map<std::string, Process> m_processes;
     std::vector<Outage> m_outages;
