Give each team its whole share: compare shares after the next start

Cause: the share was compared before the start, so each lighter team could run one task above its share at a heavier team's expense.

Change: the need of the next start is part of a policy's key.

--- a/include/oleanderhall/jobs/resources.h
+++ b/include/oleanderhall/jobs/resources.h
@@ -33,6 +33,13 @@
     }
     friend Resources operator+(Resources left, const Resources &right) { return left += right; }
     friend Resources operator-(Resources left, const Resources &right) { return left -= right; }
+    /// Returns the resources of `count` tasks that need `each`.
+    friend Resources times(const Resources &each, int count)
+    {
+        return {.milliCores = each.milliCores * count,
+                .memoryMb = each.memoryMb * count,
+                .gpus = each.gpus * count};
+    }
     friend bool operator==(const Resources &, const Resources &) = default;
 };
 
--- a/include/oleanderhall/scheduling/orderingpolicy.h
+++ b/include/oleanderhall/scheduling/orderingpolicy.h
@@ -19,6 +19,7 @@
     };
 
     Class stepClass = Class::Ordinary;
+    Resources need; ///< What the next start reserves: one task, or all tasks of a gang.
     JobRank rank;
     Instant accepted; ///< When the job was accepted.
     Millis slack{0}; ///< Until the job can't meet its objective any more; negative once it is late.
@@ -46,8 +47,10 @@
         } -> std::same_as<double>;
 };
 
-/// Weighted dominant-resource fairness: the team that uses the smallest share of its scarcest
-/// resource, relative to its weight, is next. Steps of a team are ordered by JobRank.
+/// Weighted dominant-resource fairness: the team that would use the smallest share of its scarcest
+/// resource, relative to its weight, is next. The start to be decided is included, because
+/// otherwise each lighter team could exceed its share by a task at a heavier one's expense. Steps
+/// of a team are ordered by JobRank.
 struct WeightedFairShare
 {
     static bool isBefore(const StepStanding &a, const StepStanding &b) { return a.rank < b.rank; }
--- a/src/scheduling/orderingpolicy.cpp
+++ b/src/scheduling/orderingpolicy.cpp
@@ -20,9 +20,11 @@
                      share(team.running.gpus, team.capacity.gpus)});
 }
 
-double WeightedFairShare::keyOf(const TeamStanding &team, const StepStanding &)
+double WeightedFairShare::keyOf(const TeamStanding &team, const StepStanding &step)
 {
-    return dominantShare(team) / team.weight;
+    TeamStanding next = team;
+    next.running += step.need;
+    return dominantShare(next) / team.weight;
 }
 
 double FirstComeFirstServed::keyOf(const TeamStanding &, const StepStanding &step)
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -146,6 +146,10 @@
                     continue;
                 if (!standing)
                     standing = stepStandingOf(job, occurrence, now);
+                const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
+                standing->need = spec.isGang ? times(spec.need, spec.count) : spec.need;
+                if (spec.usesIdleCores)
+                    standing->need.milliCores = 0;
                 pool.ranked.add(job.spec.team, *standing, candidate);
             }
         }
--- a/src/scheduling/schedulerteams.cpp
+++ b/src/scheduling/schedulerteams.cpp
@@ -13,13 +13,6 @@
 
 constexpr Millis kCapRefusalLifetime{1000}; // one report
 
-Resources times(const Resources &need, int count)
-{
-    return {.milliCores = need.milliCores * count,
-            .memoryMb = need.memoryMb * count,
-            .gpus = need.gpus * count};
-}
-
 Resources lower(const Resources &a, const Resources &b)
 {
     return {.milliCores = std::min(a.milliCores, b.milliCores),
