Let the system choose the ports of the forwarding tests

Cause: with fixed ports, two runs of the tests on one host failed with 'Address already in use' (2 of 347 test cases; the run before it aborted in the same way in CallerServerTest, whose port 18099 is still fixed).

--- a/tests/node/callforwarder_test.cpp
+++ b/tests/node/callforwarder_test.cpp
@@ -18,10 +18,6 @@
 
 namespace {
 
-constexpr std::uint16_t kFirstPort = 18110;
-constexpr int kPortsPerNode = 3;
-constexpr const char *kDeadNode = "127.0.0.1:18109"; // nothing listens there
-
 /// Two fleet nodes with one table, and callers who reach each of them.
 class CallForwarderTest
 {
@@ -71,8 +67,10 @@
 
     static Peer deadPeer(const std::string &name)
     {
-        return {
-            .id = EntryId(name), .zone = ZoneId("z9"), .address = kDeadNode, .processorCores = 8};
+        return {.id = EntryId(name),
+                .zone = ZoneId("z9"),
+                .address = "127.0.0.1:" + std::to_string(test::freePort()),
+                .processorCores = 8};
     }
 
     std::string deadlineMs = "3000"; ///< How long callers wait.
@@ -84,8 +82,8 @@
     const FleetConfig config{.version = {1},
                              .queues = {open, keyed},
                              .teams = {{.id = TeamId("t"), .keys = {digestOf("good")}}}};
-    ForwardingNode first{io, "first", "z0", kFirstPort, serveRows};
-    ForwardingNode second{io, "second", "z1", kFirstPort + kPortsPerNode, serveRows};
+    ForwardingNode first{io, "first", "z0", serveRows};
+    ForwardingNode second{io, "second", "z1", serveRows};
 };
 
 } // namespace
--- a/tests/node/forwardingload_test.cpp
+++ b/tests/node/forwardingload_test.cpp
@@ -20,7 +20,6 @@
 constexpr int kNodes = 29;
 constexpr int kLargeEvery = 5; // every fifth node has 0.5 cores, the others 0.12
 constexpr int kJobsPerSecond = 200;
-constexpr std::uint16_t kFirstPort = 18200;
 
 /// 29 fleet nodes with one table, and callers who submit jobs to all of them.
 class ForwardingLoadTest
@@ -30,9 +29,8 @@
     {
         std::vector<Peer> members;
         for (int index = 0; index < kNodes; ++index) {
-            const auto port = static_cast<std::uint16_t>(kFirstPort + 3 * index);
             nodes.push_back(std::make_unique<ForwardingNode>(
-                io, "n" + std::to_string(index), "z" + std::to_string(index % 3), port,
+                io, "n" + std::to_string(index), "z" + std::to_string(index % 3),
                 [this](HttpRequest &request) { return rows.handleRequest(request); }));
             nodes.back()->peer.processorCores = index % kLargeEvery == 0 ? 0.5 : 0.12;
             members.push_back(nodes.back()->peer);
--- a/tests/node/memberregistry_test.cpp
+++ b/tests/node/memberregistry_test.cpp
@@ -6,6 +6,7 @@
 #include "../../src/daemon/metrics.h"
 #include "../../src/http/callerserver.h"
 #include "../../src/node/storednames.h"
+#include "../support/freeport.h"
 
 #include "oleanderhall/core/clock.h"
 
@@ -17,12 +18,10 @@
 
 namespace {
 
-constexpr std::uint16_t kTablePort = 18150;
-
 class MemberRegistryTest
 {
 protected:
-    MemberRegistryTest() { server->start("127.0.0.1", kTablePort); }
+    MemberRegistryTest() { server->start("127.0.0.1", tablePort); }
 
     struct Node
     {
@@ -62,13 +61,14 @@
         return ids;
     }
 
+    const std::uint16_t tablePort = test::freePort();
     boost::asio::io_context io{1};
     Metrics metrics;
     platform::StandinTable rows{io, 1};
     std::shared_ptr<CallerServer> server = std::make_shared<CallerServer>(
         io, CallerLimits{}, [this](HttpRequest &request) { return rows.handleRequest(request); },
         metrics);
-    platform::TableClient table{io, "127.0.0.1:" + std::to_string(kTablePort), metrics};
+    platform::TableClient table{io, "127.0.0.1:" + std::to_string(tablePort), metrics};
     Node first{*this, "first"};
     Node second{*this, "second"};
 };
--- a/tests/support/forwardingnode.h
+++ b/tests/support/forwardingnode.h
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "freeport.h"
+
 #include "../../src/daemon/metrics.h"
 #include "../../src/http/callerserver.h"
 #include "../../src/http/httpclient.h"
@@ -23,33 +25,32 @@
 
 inline constexpr Millis kTeamRateWindow{5000}; // its teams have no keys, so any will do
 
-/// The parts of a fleet node that answer calls, on loopback ports of its own: `port` serves
-/// callers, the next one peers, and the third one passes the node's calls on to
-/// `serveTable`.
+/// The parts of a fleet node that answer calls, on loopback ports of their own: one for callers,
+/// one for peers, and one that passes the node's calls on to `serveTable`.
 struct ForwardingNode
 {
     ForwardingNode(boost::asio::io_context &io, const std::string &name, const std::string &zone,
-                   std::uint16_t port, RequestHandler serveTable)
+                   RequestHandler serveTable)
         : m_io(io)
         , m_serveTable(std::move(serveTable))
         , peer{.id = EntryId(name),
                .zone = ZoneId(zone),
-               .address = "127.0.0.1:" + std::to_string(port + 1),
+               .address = addressAt(m_peerPort),
                .processorCores = 1}
         , peers(peer)
-        , table(io, "127.0.0.1:" + std::to_string(port + 2), metrics)
+        , table(io, addressAt(m_tablePort), metrics)
         , api(io, table, view, metrics, kTeamRateWindow)
         , forwarder(io, view, peers, monitor, metrics,
                     [this](HttpRequest &request) { return api.answer(request); })
-        , callers(std::make_shared<HttpClient>(io, "127.0.0.1:" + std::to_string(port), 400))
+        , callers(std::make_shared<HttpClient>(io, addressAt(m_callerPort), 400))
     {
         table.setObserver(
             [this](const platform::TableCall &call) { monitor.observe(call, monotonicNow()); });
         api.setHandOff([this](int partition) { return forwarder.isBetterElsewhere(partition); });
         forwarder.setSilenceTest([this](Instant now) { return api.isTableSilent(now); });
-        serve(port, [this](HttpRequest &request) { return forwarder.answer(request); });
-        serve(port + 1, [this](HttpRequest &request) { return answerPeer(request); });
-        serve(port + 2, [this](HttpRequest &request) { return answerTableCall(request); });
+        serve(m_callerPort, [this](HttpRequest &request) { return forwarder.answer(request); });
+        serve(m_peerPort, [this](HttpRequest &request) { return answerPeer(request); });
+        serve(m_tablePort, [this](HttpRequest &request) { return answerTableCall(request); });
         view.lastContact = monotonicNow();
     }
 
@@ -78,12 +79,14 @@
     }
 
 private:
-    void serve(int port, RequestHandler handler)
+    static std::string addressAt(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+    void serve(std::uint16_t port, RequestHandler handler)
     {
         CallerLimits limits;
         limits.connections = 2000;
         auto server = std::make_shared<CallerServer>(m_io, limits, std::move(handler), metrics);
-        server->start("127.0.0.1", static_cast<std::uint16_t>(port));
+        server->start("127.0.0.1", port);
         m_servers.push_back(std::move(server));
     }
 
@@ -115,6 +118,9 @@
     }
 
     boost::asio::io_context &m_io;
+    const std::uint16_t m_callerPort = freePort();
+    const std::uint16_t m_peerPort = freePort();
+    const std::uint16_t m_tablePort = freePort();
     RequestHandler m_serveTable;
     std::vector<std::shared_ptr<CallerServer>> m_servers;
 
