--- a/include/oleanderhall/scheduling/schedulersettings.h
+++ b/include/oleanderhall/scheduling/schedulersettings.h
@@ -36,6 +36,10 @@
     /// Delay before the next poll after a run has ended, so that one poll reads several ends: each
     /// poll is charged for.
     Millis pollSpacing{40};
+    /// How long a worker may take to answer a poll; an answer usually takes 2 ms.
+    Millis pollAnswerTime{500};
+    /// The same after several failed polls, as the worker may be slow to answer.
+    Millis slowPollAnswerTime{2500};
     /// Delay before a start or stop that was not answered is sent again.
     Millis commandRetryDelay{250};
     /// How often a start is sent before its run is abandoned and stopped.
@@ -51,6 +55,7 @@
     Millis recordInterval{50};
     /// Jobs per write of progress, which the caller splits into transactions.
     std::size_t maxJobsPerWrite = 240;
+    Millis teamRateWindow{5000}; ///< The span over which the rate of a team's jobs is judged.
     /// The fraction by which a worker's clock may run slow; the platform specifies 2 %.
     double clockDrift = 0.02;
 };
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -24,7 +24,8 @@
                              Instant now)
 {
     worker.clock.update(status.clock, now);
-    if (!worker.isSynced) {
+    // The unreadable runs may be of tasks that an earlier owner has started.
+    if (!worker.isSynced && !status.hasUnreadableActiveRuns) {
         worker.isSynced = true;
         // An earlier owner may have extended leases until now.
         worker.clock.recordGranted(status.clock
@@ -42,7 +43,8 @@
         handleEndedRun(worker, ended, now);
     for (const ActiveRun &reported : status.running)
         handleActiveRun(worker, reported, now);
-    const bool isComplete = status.ended.size() < kMaxEndsPerStatus;
+    const bool isComplete = status.ended.size() < kMaxEndsPerStatus
+        && !status.hasUnreadableActiveRuns;
     for (std::size_t index = 0; isComplete && index < worker.runs.size();) {
         const WorkerRun run = worker.runs[index];
         const bool isGone = !present.contains({run.task, run.run})
@@ -56,10 +58,15 @@
         removeRun(worker, index);
         unplace(run, now);
     }
+    for (WorkerRun &run : worker.runs)
+        noteOverdueRun(worker, run, now);
     stopStalledRuns(worker, now);
     adjustCpuLimits(worker, now);
     const bool hasNewEnds = !status.ended.empty();
     worker.nextPoll = hasNewEnds ? now + m_settings.pollSpacing : now;
+    // The worker may answer at once as long as it has ends that can't be acknowledged.
+    if (status.hasUnreadableActiveRuns || status.hasUnreadableEnds)
+        worker.nextPoll = now + m_settings.commandRetryDelay;
 }
 
 void Scheduler::handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now)
@@ -97,6 +104,7 @@
         run.isLongRunning = spec->isLongRunning;
         run.latencyTarget = spec->latencyTarget;
         run.allowsCopies = allowsCopies(*spec);
+        run.showsSpeed = showsSpeed(*spec);
         if (run.usesIdleCores)
             run.reservation.milliCores = 0;
     }
@@ -127,8 +135,7 @@
                      true});
         requestStop(run, now);
     }
-    worker.used += run.reservation;
-    worker.runs.push_back(std::move(run));
+    addRun(worker, std::move(run));
 }
 
 void Scheduler::handleEndedRun(WorkerState &worker, const EndedRun &ended, Instant now)
@@ -136,12 +143,11 @@
     if (ended.sequence <= worker.lastHandledEnd)
         return;
     worker.lastHandledEnd = ended.sequence;
-    Instant runningSince{};
-    if (WorkerRun *run = findRun(worker, ended.task, ended.run)) {
-        const WorkerRun copy = *run;
-        runningSince = copy.runningSince;
+    WorkerRun known;
+    if (const WorkerRun *run = findRun(worker, ended.task, ended.run)) {
+        known = *run;
         removeRun(worker, static_cast<std::size_t>(run - worker.runs.data()));
-        unplace(copy, now);
+        unplace(known, now);
     }
     const auto found = m_jobs.find(ended.task.job);
     TrackedTask *task = findTask(ended.task);
@@ -179,11 +185,10 @@
         } else {
             endOtherRun(ended.task, *task, now);
         }
-        if (runningSince != Instant{}) {
-            const auto runTime = std::chrono::duration_cast<Millis>(now - runningSince);
-            m_runTimes.observe(job.spec.queue.name, spec.estimate, runTime);
-            step.totalRunTimeMs += static_cast<double>(runTime.count());
-            ++step.timedTasks;
+        if (known.runningSince != Instant{}) {
+            observeRunTime(worker, known, step, now);
+            m_runTimes.observe(job.spec.queue.name, spec.estimate,
+                               std::chrono::duration_cast<Millis>(now - known.runningSince));
         }
         worker.lastFailedJob = {};
         worker.timesAvoided = 0;
--- a/tests/node/callforwarder_test.cpp
+++ b/tests/node/callforwarder_test.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr const char *kDeadNode = "127.0.0.1:18109"; // nothing listens there
+
 /// Two fleet nodes with one table, and callers who reach each of them.
 class CallForwarderTest
 {
@@ -67,10 +69,8 @@
 
     static Peer deadPeer(const std::string &name)
     {
-        return {.id = EntryId(name),
-                .zone = ZoneId("z9"),
-                .address = "127.0.0.1:" + std::to_string(test::freePort()),
-                .processorCores = 8};
+        return {
+            .id = EntryId(name), .zone = ZoneId("z9"), .address = kDeadNode, .processorCores = 8};
     }
 
     std::string deadlineMs = "3000"; ///< How long callers wait.
--- a/tests/node/memberregistry_test.cpp
+++ b/tests/node/memberregistry_test.cpp
@@ -6,7 +6,7 @@
 #include "../../src/daemon/metrics.h"
 #include "../../src/http/callerserver.h"
 #include "../../src/node/storednames.h"
-#include "../support/freeport.h"
+#include "../support/freeports.h"
 
 #include "oleanderhall/core/clock.h"
 
@@ -61,7 +61,7 @@
         return ids;
     }
 
-    const std::uint16_t tablePort = test::freePort();
+    const std::uint16_t tablePort = test::freePorts(1);
     boost::asio::io_context io{1};
     Metrics metrics;
     platform::StandinTable rows{io, 1};
