Restart half of the soak's workers under their previous id

Cause: the soak knew only restarts under new ids, and the stand-in worker reported no start time.

Change: StandinWorker and the stand-in's entries carry a start time where one is given.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Millis kTick{10};
+constexpr std::uint64_t kFirstStartMs = 1'700'000'000'000; // any time in milliseconds since 1970
 constexpr Millis kEntryExpiry{1500}; // from a worker's crash to the removal of its table entry
 // Offsets from DeploymentSettings::firstPort.
 constexpr int kTablePortOffset = 0;
@@ -166,14 +167,20 @@
     if (worker.incarnation && !worker.incarnation->hasTerminated())
         crashWorker(index); // an overlapping fault has already restarted this worker
     ++worker.incarnationCount;
-    const std::string id = "w" + std::to_string(index) + "-"
-        + std::to_string(worker.incarnationCount);
-    worker.incarnation = std::make_shared<platform::StandinWorker>(m_io, id, m_checker);
+    // Every second worker restarts under its previous id. A host service tells workers by their
+    // ids.
+    const bool keepsId = !m_hosts && index % 2 == 1;
+    const std::string id = "w" + std::to_string(index)
+        + (keepsId ? "" : "-" + std::to_string(worker.incarnationCount));
+    const WorkerStartTime started{
+        keepsId ? kFirstStartMs + static_cast<std::uint64_t>(worker.incarnationCount) : 0};
+    worker.incarnation = std::make_shared<platform::StandinWorker>(m_io, id, started, m_checker);
     const WorkerInfo info{.id = WorkerId(id),
                           .pool = worker.pool,
                           .address = addressAt(worker.port),
                           .zone = ZoneId("z" + std::to_string(index % 2)),
-                          .capacity = {.milliCores = 8000, .memoryMb = 8192}};
+                          .capacity = {.milliCores = 8000, .memoryMb = 8192},
+                          .started = started};
     m_table.put(platform::kWorkerTable, id, platform::encodeWorker(info));
     if (m_hosts)
         m_hosts->setHost(hostOf(index));
@@ -263,8 +270,9 @@
     m_endedIncarnations.push_back(worker.incarnation);
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kEntryExpiry);
     timer->async_wait(
-        [this, timer, id = worker.incarnation->id()](const boost::system::error_code &) {
-            m_table.remove(platform::kWorkerTable, id);
+        [this, timer, &worker, ended = worker.incarnation](const boost::system::error_code &) {
+            if (worker.incarnation == ended || worker.incarnation->id() != ended->id())
+                m_table.remove(platform::kWorkerTable, ended->id());
         });
 }
 
