Keep unknown outcomes and registrations out of a slow table's queue

Of all transactions a third were nodes that sent a few jobs of unknown outcome again, a sixth renewed rows of members, and many ended at 1 s without the answer that came after 1.1 s, to conflict when they were sent again. StoreQueue_anotherNodeWrites is new; the case fails without the new argument.

--- a/include/oleanderhall/jobs/storequeue.h
+++ b/include/oleanderhall/jobs/storequeue.h
@@ -63,7 +63,9 @@
     void onRowFound(JobId id, std::uint64_t version);
     /// Returns what is due. Must be called after each of the other functions, and at least every
     /// kTickInterval while jobs wait.
-    Step tick(TableSilence::Stage table, Instant now);
+    /// Without `maySend`, as while another node writes for the partition, the step contains no
+    /// batch: the rows of jobs that may be stored are still read.
+    Step tick(TableSilence::Stage table, Instant now, bool maySend = true);
 
     bool empty() const { return m_jobs.empty(); }
     std::size_t size() const { return m_jobs.size(); }
--- a/src/node/jobwriter.cpp
+++ b/src/node/jobwriter.cpp
@@ -83,7 +83,10 @@
 void JobWriter::step()
 {
     const Instant now = monotonicNow();
-    const StoreQueue::Step step = m_queue.tick(m_probe.stage(now), now);
+    // A job whose outcome is unknown isn't sent again into a slow table either: a few such jobs on
+    // each of many nodes keep the queue of its partition full.
+    const bool maySend = !m_isBetterElsewhere || !m_isBetterElsewhere();
+    const StoreQueue::Step step = m_queue.tick(m_probe.stage(now), now, maySend);
     if (!step.batch.empty())
         send(step.batch, step.timeout);
     for (const JobId id : step.reads)
--- a/src/node/memberregistry.cpp
+++ b/src/node/memberregistry.cpp
@@ -135,10 +135,12 @@
     m_table.transact(transaction, kCallTimeout, [this](const platform::TransactionResult &result) {
         if (m_isLeaving)
             return;
-        if (result.outcome != platform::TransactionResult::Outcome::Done) {
+        if (result.outcome != platform::TransactionResult::Outcome::Done && !m_isRegistered) {
             onFailure();
             return;
         }
+        // A row of some minutes ago is as good, and a slow table has more urgent writes.
+        m_isRegistered = true;
         scheduleNext(m_interval + randomDelay());
         m_interval = std::min(2 * m_interval, kLongestInterval);
     });
--- a/src/node/memberregistry.h
+++ b/src/node/memberregistry.h
@@ -39,6 +39,7 @@
     PeerList &m_peers;
     Metrics &m_metrics;
     std::vector<platform::TableRow> m_rows; ///< Of the read in progress.
+    bool m_isRegistered = false; ///< The node's row has been written.
     Millis m_interval;
     bool m_isLeaving = false;
 };
--- a/tests/jobs/storequeue_test.cpp
+++ b/tests/jobs/storequeue_test.cpp
@@ -122,6 +122,24 @@
     CHECK(queue.empty());
 }
 
+TEST_CASE_METHOD(StoreQueueTest, "StoreQueue_anotherNodeWrites_readsTheRowAndSendsNothing",
+                 "[jobs]")
+{
+    // Guards against many nodes that send a few jobs of unknown outcome again and again and keep
+    // the queue of a slow partition full, so that its writer is rejected.
+    add(1);
+    CHECK(tick().batch.size() == 1);
+    queue.onBatchResult(Result::Unanswered, 0, {}, now);
+    now += Millis(2000);
+    CHECK(queue.tick(Stage::Answering, now, false).batch.empty());
+    now += Millis(500);
+    const StoreQueue::Step step = queue.tick(Stage::Answering, now, false);
+    CHECK(step.batch.empty());
+    CHECK(step.reads == std::vector<JobId>{JobId{1}});
+    queue.onRowFound(JobId{1}, 7);
+    CHECK(onlyOutcome(queue.tick(Stage::Answering, now, false)) == StoreOutcome::AlreadyStored);
+}
+
 TEST_CASE_METHOD(StoreQueueTest, "StoreQueue_addedAgainAfterItsRowWasFound_isQueuedOnce", "[jobs]")
 {
     add(1);
