--- a/src/jobs/storequeue.cpp
+++ b/src/jobs/storequeue.cpp
@@ -12,10 +12,8 @@
 // The longest time that a slow partition takes: 1 s for the transactions in its queue, and 240 ms
 // each for the one that it executes and for this one. The rest is for small hosts.
 constexpr Millis kMaxAnswerTimeout{1800};
-// Where the table answers faster, jobs of a lost answer are sent again with time left to answer. A
-// table that has just become slow answers after 0.7 to 1.4 s; to give up before that costs its
-// partition another transaction, and a third one because the second conflicts with the first.
-constexpr Millis kMinAnswerTimeout{1500};
+// Where the table answers faster, jobs of a lost answer are sent again with time left to answer.
+constexpr Millis kMinAnswerTimeout{1000};
 constexpr int kAnswerTimeoutDurations = 8;
 // After a refusal. Many hosts compete for the places in a slow partition's queue.
 constexpr Millis kMinRetryDelay{100};
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -33,10 +33,7 @@
     /// `isBetterElsewhere` returns true for the partition; see JobWriter::setHandOff().
     void setHandOff(const std::function<bool(int partition)> &isBetterElsewhere);
     /// Returns whether the table has stopped answering this node's calls.
-    bool isTableSilent(Instant now)
-    {
-        return m_probe.stage(now) == TableSilence::Stage::Silent;
-    }
+    bool isTableSilent(Instant now) { return m_probe.stage(now) == TableSilence::Stage::Silent; }
 
 private:
     boost::asio::awaitable<Reply> route(HttpRequest &request);
