--- a/tests/http/callerserver_test.cpp
+++ b/tests/http/callerserver_test.cpp
@@ -11,6 +11,7 @@
 #include "../../src/http/upstreamclient.h"
 
 #include "../support/fakeupstream.h"
+#include "../support/freeports.h"
 #include "../support/registers.h"
 
 #include <catch2/catch.hpp>
@@ -50,7 +51,7 @@
         record.instances.push_back({ServiceId("alpha"), InstanceState::Ready});
         state.restore({1}, {1}, config, {record}, {});
         routes.refresh(state, {});
-        server->start("127.0.0.1", kPort);
+        server->start("127.0.0.1", port);
     }
     ~CallerServerTest()
     {
@@ -62,7 +63,7 @@
     asio::ip::tcp::socket connect()
     {
         asio::ip::tcp::socket socket(client);
-        socket.connect({asio::ip::make_address("127.0.0.1"), kPort});
+        socket.connect({asio::ip::make_address("127.0.0.1"), port});
         return socket;
     }
 
@@ -110,7 +111,7 @@
         return resident;
     }
 
-    static constexpr std::uint16_t kPort = 18099;
+    const std::uint16_t port = test::freePorts(1);
     const std::string
         kValidRequest = "GET /alpha/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
