Hold the load test of a rejected third to 90 % stored and a twentieth unknown

Cause: the test was committed with 85 % and a tenth after its author had seen figures short of the bounds first written; bounds come from the target, and an unknown outcome is to be rare. Change: 90 % and a twentieth.

--- a/tests/node/forwardingload_test.cpp
+++ b/tests/node/forwardingload_test.cpp
@@ -131,9 +131,9 @@
     });
     const int jobs = runLoad(3);
     INFO(figures());
-    CHECK(byStatus[200] >= jobs * 85 / 100);
+    CHECK(byStatus[200] >= jobs * 9 / 10);
     // Jobs of transactions that were reset or not answered at the onset stay unknown.
-    CHECK(byStatus[504] <= jobs / 10);
+    CHECK(byStatus[504] <= jobs / 20);
     CHECK(stored() >= byStatus[200]);
     CHECK(stored() <= byStatus[200] + byStatus[504] + byStatus[0]);
 }
