Give the admission policy's inputs a name of their own, and say what a table refusal means

Cause: a newcomer meets two types TeamLoad, the scheduler's report of a team and the inputs of AdmissionPolicy; and the comment on refusals by the table said of every call that it had no effect, which holds for a POST only: a cancellation of unknown outcome is answered with such a reason too, and may be repeated. Change: AdmissionPolicy::Inputs, the comment, no behaviour.

--- a/include/oleanderhall/teams/admissionpolicy.h
+++ b/include/oleanderhall/teams/admissionpolicy.h
@@ -18,7 +18,7 @@
 {
 public:
     /// What is known of a team and of the pool that would run its job.
-    struct TeamLoad
+    struct Inputs
     {
         double weight = 0; ///< The jobs a second that the team is owed.
         double acceptedRate = 0; ///< Jobs a second that all entry hosts accepted; 0 if few.
@@ -36,10 +36,10 @@
     explicit AdmissionPolicy(Millis rateWindow, double spreadStart = 0);
 
     /// Decides about a job of `team` that arrives at `now`.
-    Verdict decide(TeamId team, const TeamLoad &load, Instant now);
+    Verdict decide(TeamId team, const Inputs &inputs, Instant now);
 
 private:
-    double owedShare(TeamId team, const TeamLoad &load, Instant now) const;
+    double owedShare(TeamId team, const Inputs &inputs, Instant now) const;
     Millis expectedTurn(TeamId team, Instant now) const;
 
     TeamRates m_arrived;
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -242,7 +242,7 @@
 {
     if (target.team.empty())
         return {};
-    AdmissionPolicy::TeamLoad load{.isKnown = m_view.isLoadKnown(now)};
+    AdmissionPolicy::Inputs load{.isKnown = m_view.isLoadKnown(now)};
     for (const TeamConfig &team : m_view.config->teams) {
         if (team.id == target.team)
             load.weight = team.weight;
--- a/src/node/callforwarder.cpp
+++ b/src/node/callforwarder.cpp
@@ -98,7 +98,9 @@
     return nullptr;
 }
 
-/// Returns whether the reply says that the call had no effect because of the table.
+/// Returns whether the table kept the node from serving the call, so that another node may try it:
+/// a POST with such a reply has had no effect, and a GET or DELETE may be repeated. The reasons of
+/// such refusals, and only these, begin with "table_".
 bool isTableRefusal(const Reply &reply)
 {
     return reply.status == kUnavailable && reply.body.find("\"table_") != std::string::npos;
--- a/src/teams/admissionpolicy.cpp
+++ b/src/teams/admissionpolicy.cpp
@@ -20,16 +20,16 @@
 {}
 
 /// Returns the share of the team's calls that makes up its weight.
-double AdmissionPolicy::owedShare(TeamId team, const TeamLoad &load, Instant now) const
+double AdmissionPolicy::owedShare(TeamId team, const Inputs &inputs, Instant now) const
 {
-    if (load.weight <= 0)
+    if (inputs.weight <= 0)
         return 0;
-    if (load.acceptedRate <= 0)
+    if (inputs.acceptedRate <= 0)
         return 1;
     const double acceptedShare = (m_accepted.count(team, now) + kPriorCalls)
         / (m_arrived.count(team, now) + kPriorCalls);
-    const double arrivalRate = load.acceptedRate / acceptedShare;
-    return std::min(1.0, load.weight / arrivalRate);
+    const double arrivalRate = inputs.acceptedRate / acceptedShare;
+    return std::min(1.0, inputs.weight / arrivalRate);
 }
 
 /// Returns when this host would accept the last of the calls that it has refused in the window.
@@ -40,18 +40,18 @@
     return std::clamp(m_arrived.window() * refused / std::max(1, accepted), kMinTurn, kMaxTurn);
 }
 
-AdmissionPolicy::Verdict AdmissionPolicy::decide(TeamId team, const TeamLoad &load, Instant now)
+AdmissionPolicy::Verdict AdmissionPolicy::decide(TeamId team, const Inputs &inputs, Instant now)
 {
     Verdict verdict;
-    if (load.isKnown) {
+    if (inputs.isKnown) {
         // Hosts that see few calls must not all begin with a refusal.
         auto credit = m_credits.find(team);
         if (credit == m_credits.end())
             credit = m_credits.emplace(team, m_spread.nextFraction()).first;
-        credit->second += owedShare(team, load, now);
+        credit->second += owedShare(team, inputs, now);
         verdict.isOverRate = credit->second < 1;
         credit->second -= verdict.isOverRate ? 0 : 1;
-        verdict.isAccepted = !verdict.isOverRate || !load.isRoomShort;
+        verdict.isAccepted = !verdict.isOverRate || !inputs.isRoomShort;
     }
     m_arrived.add(team, now);
     if (verdict.isAccepted)
--- a/tests/teams/admissionpolicy_test.cpp
+++ b/tests/teams/admissionpolicy_test.cpp
@@ -16,7 +16,7 @@
 {
 protected:
     /// Returns how many of `calls` are accepted, `perSecond` of them a second.
-    int accepted(int calls, double perSecond, const AdmissionPolicy::TeamLoad &load)
+    int accepted(int calls, double perSecond, const AdmissionPolicy::Inputs &load)
     {
         int result = 0;
         for (int call = 0; call < calls; ++call) {
@@ -49,7 +49,7 @@
 TEST_CASE_METHOD(AdmissionPolicyTest, "AdmissionPolicy_overRateWithRoom_acceptsAndMarksTheExcess",
                  "[teams]")
 {
-    const AdmissionPolicy::TeamLoad load{.weight = 10, .acceptedRate = 40, .isKnown = true};
+    const AdmissionPolicy::Inputs load{.weight = 10, .acceptedRate = 40, .isKnown = true};
     CHECK(accepted(200, 40, load) == 200);
     int excess = 0;
     for (int call = 0; call < 40; ++call)
@@ -61,7 +61,7 @@
 TEST_CASE_METHOD(AdmissionPolicyTest, "AdmissionPolicy_withinRateAndNoRoom_refusesNothing",
                  "[teams]")
 {
-    const AdmissionPolicy::TeamLoad load{
+    const AdmissionPolicy::Inputs load{
         .weight = 10, .acceptedRate = 9.5, .isRoomShort = true, .isKnown = true};
     CHECK(accepted(100, 9.5, load) == 100);
 }
@@ -76,7 +76,7 @@
 TEST_CASE_METHOD(AdmissionPolicyTest, "AdmissionPolicy_refusal_namesTheTurnWithinItsBounds",
                  "[teams]")
 {
-    const AdmissionPolicy::TeamLoad load{.isRoomShort = true, .isKnown = true};
+    const AdmissionPolicy::Inputs load{.isRoomShort = true, .isKnown = true};
     for (int call = 0; call < 100; ++call) {
         const Millis wait = policy.decide(kTeam, load, now).retryAfter;
         CHECK(wait >= Millis(500));
