--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -251,6 +251,7 @@
     void startRun(WorkerState &worker, TrackedJob &job, const TaskId &id, std::int64_t number,
                   Instant now, std::vector<SchedulerAction> &out);
     void noteStarted(TrackedJob &job, Instant now);
+    void noteBegun(const TaskId &task);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
     bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now) const;
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -73,6 +73,7 @@
     bool isReleaseInBatch = false; ///< The write in flight contains its release.
     bool isReleaseRecorded = false; ///< Its release is durable, so its tasks may start.
     bool isOverRate = false; ///< Its team sent it beyond its rate.
+    bool hasBegun = false; ///< A worker has confirmed that a task of it runs or has ended.
     Instant accepted;
     Instant ended;
     std::vector<Occurrence> occurrences;
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -213,8 +213,13 @@
     if (monotonicNow() - m_view.report.receivedAt > kMaxReportAge)
         return refuse(kUnavailable, "count_unknown", kRetryAfter);
     const auto found = m_view.report.waitingJobs.find(target.queue.name);
-    return jsonReply(
-        platform::encodeWaitingCount(found == m_view.report.waitingJobs.end() ? 0 : found->second));
+    const std::int64_t count = found == m_view.report.waitingJobs.end() ? 0 : found->second;
+    logInfo(
+        "waiting_count_answered",
+        {{"queue", target.queue.name},
+         {"count", std::to_string(count)},
+         {"age_ms", std::to_string(m_view.tableTime(monotonicNow()) - m_view.report.countedMs)}});
+    return jsonReply(platform::encodeWaitingCount(count));
 }
 
 asio::awaitable<TransactionResult> CallerApi::transact(Transaction transaction)
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -362,6 +362,7 @@
             for (const QueueLoad &load : m_owner->queueLoads())
                 waiting[load.queue] = web::json::value(load.waitingJobs);
             record["waiting"] = waiting;
+            record["countedMs"] = web::json::value(m_owner->jobsReadClockMs());
             if (m_view.config && !m_view.config->teams.empty())
                 encodeLoadReport(m_owner->loadReport(monotonicNow()), record);
         }
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -50,6 +50,7 @@
     , m_startGate(settings.cancelTimeout)
     , m_workerClient(io, metrics, m_term.version)
     , m_teamReport(metrics)
+    , m_load(metrics)
     , m_stepTimer(io)
     , m_teamRates(settings.teamRateWindow)
 {
@@ -150,12 +151,19 @@
     if (m_isLoaded && m_areWorkersListed && m_ownership.mayExtendLeases(now)) {
         if (m_hostController && m_ownership.maySendCommands(now))
             m_hostController->step(now);
+        const Instant planned = monotonicNow();
         m_scheduler.setStartGate(m_startGate);
         logHeldStarts(now);
         std::vector<SchedulerAction> actions = m_scheduler.tick(now, wallClockMs(),
                                                                 m_ownership.maySendCommands(now));
+        const Instant decided = monotonicNow();
         dispatch(actions);
         logDecisions();
+        m_load.add({.planning = planned - now,
+                    .deciding = decided - planned,
+                    .sending = monotonicNow() - decided});
+        if (m_load.isDue(now))
+            reportLoad(now);
         if (m_teamReport.isDue(now) && m_view.config && !m_view.config->teams.empty())
             m_teamReport.report(m_scheduler.teamLoads(now), now);
     }
@@ -170,6 +178,11 @@
     });
 }
 
+void FleetOwner::reportLoad(Instant now)
+{
+    m_load.report(m_scheduler.queueLoads(), Millis(m_view.tableTime(now) - m_jobsReadClockMs), now);
+}
+
 void FleetOwner::logHeldStarts(Instant now)
 {
     if (m_areStartsHeld != m_startGate.mayStart(now))
--- a/src/node/fleetowner.h
+++ b/src/node/fleetowner.h
@@ -3,6 +3,7 @@
 #include "fleetview.h"
 #include "hostcontroller.h"
 #include "nodesettings.h"
+#include "ownerload.h"
 #include "tablewatcher.h"
 #include "teamreport.h"
 #include "workerdirectory.h"
@@ -48,6 +49,8 @@
     LoadReport loadReport(Instant now) const;
     /// Returns what each team uses and waits for; empty until the jobs are loaded.
     std::vector<TeamLoad> teamLoads() const;
+    /// Returns the table's steady clock when the jobs were last read; 0 before the first read.
+    std::int64_t jobsReadClockMs() const { return m_jobsReadClockMs; }
     bool isLoaded() const { return m_isLoaded; }
     /// Returns whether a fencing token row or a worker's refusal has shown that another process
     /// took over ownership.
@@ -77,6 +80,7 @@
     void step();
     void logDecisions();
     void logHeldStarts(Instant now);
+    void reportLoad(Instant now);
     std::string addressOf(WorkerId worker) const;
 
     boost::asio::io_context &m_io;
@@ -95,6 +99,7 @@
     std::shared_ptr<TableWatcher> m_workerWatcher;
     WorkerDirectory m_workerDirectory;
     TeamReport m_teamReport;
+    OwnerLoad m_load;
     /// Progress that was read at the take-over; held until the jobs are loaded.
     std::map<JobId, JobProgress> m_inheritedProgress;
     /// Versions of the fencing token rows, by partition.
@@ -105,6 +110,7 @@
     std::map<JobId, std::uint64_t> m_progressVersions; ///< Expected by the next progress write.
     boost::asio::steady_timer m_stepTimer;
     TeamRates m_teamRates; ///< Of accepted jobs.
+    std::int64_t m_jobsReadClockMs = 0; ///< The table's steady clock at the last read of the jobs.
     bool m_isStepScheduled = false;
     bool m_isLoaded = false;
     bool m_areWorkersListed = false;
--- a/src/node/fleetownerloading.cpp
+++ b/src/node/fleetownerloading.cpp
@@ -159,6 +159,7 @@
     for (const JobId id : cancelled)
         m_scheduler.cancel(id, now);
     m_startGate.onCancellationsRead(update.sentAt);
+    m_jobsReadClockMs = update.clockMs;
     m_isLoaded = true;
     scheduleStep();
 }
--- a/src/node/fleetview.h
+++ b/src/node/fleetview.h
@@ -23,6 +23,8 @@
     struct OwnerReport
     {
         std::map<std::string, std::int64_t> waitingJobs; ///< Number of waiting jobs, by queue.
+        /// The table's steady clock when the owner read the jobs that it counted; 0 if not known.
+        std::int64_t countedMs = 0;
         Instant receivedAt;
         LoadReport load;
     };
--- a/src/node/viewupdate.cpp
+++ b/src/node/viewupdate.cpp
@@ -61,6 +61,9 @@
         view.report.waitingJobs.clear();
         for (const auto &[queue, waiting] : record.at("waiting").as_object())
             view.report.waitingJobs[queue] = waiting.as_number().to_int64();
+        view.report.countedMs = record.has_field("countedMs")
+            ? record.at("countedMs").as_number().to_int64()
+            : 0; // reports of earlier versions lack it
         view.report.receivedAt = monotonicNow();
     } catch (const std::exception &error) {
         logWarning("report_unreadable", {{"reason", error.what()}});
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -92,6 +92,7 @@
     // while.
     job.isInherited = isInherited || accepted - m_termStart < m_settings.takeoverOverlap;
     job.inheritedProgress = progress.tasks;
+    job.hasBegun = !progress.tasks.empty();
     job.isReleased = progress.isReleased;
     job.isReleaseRecorded = progress.isReleased;
     const auto queue = m_queues.find(job.spec.queue.name);
@@ -341,8 +342,12 @@
         const TrackedJob &job = m_jobs.at(id);
         QueueLoad &load = loads[job.spec.queue.name];
         load.queue = job.spec.queue.name;
-        if (job.state == JobState::Queued && job.spec.occurrences == 0)
+        if (job.spec.occurrences > 0)
+            continue;
+        if (job.state == JobState::Queued)
             ++load.waitingJobs;
+        else if (!job.hasBegun)
+            ++load.unconfirmedJobs;
     }
     std::vector<QueueLoad> result;
     result.reserve(loads.size());
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -156,6 +156,7 @@
     case CallResult::Ok:
         if (!isForEarlierIncarnation(worker, command.started))
             worker.clock.recordConfirmed(command.leaseExpiry);
+        noteBegun(command.task);
         if (run->phase == WorkerRun::Phase::Starting) {
             run->phase = WorkerRun::Phase::Running;
             run->runningSince = now;
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -535,6 +535,13 @@
                  waited});
 }
 
+/// Records that a worker has confirmed a run of the task.
+void Scheduler::noteBegun(const TaskId &task)
+{
+    if (const auto job = m_jobs.find(task.job); job != m_jobs.end())
+        job->second.hasBegun = true;
+}
+
 StartCommand Scheduler::makeStartCommand(WorkerState &worker, const TrackedJob &job,
                                          const WorkerRun &run, Instant now)
 {
