--- a/include/oleanderhall/scheduling/queueload.h
+++ b/include/oleanderhall/scheduling/queueload.h
@@ -9,7 +9,9 @@
 struct QueueLoad
 {
     std::string queue;
-    std::int64_t waitingJobs = 0; ///< Accepted jobs of which no task has started.
+    /// Accepted jobs of which no task has started, as far as is known. This includes jobs whose
+    /// first start was sent a while ago and is still not confirmed.
+    std::int64_t waitingJobs = 0;
     /// Jobs of which a task was sent to a worker, and no worker has confirmed one yet.
     std::int64_t unconfirmedJobs = 0;
 };
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -102,7 +102,7 @@
     /// Returns and clears the decisions since the last call, for the log.
     std::vector<Decision> takeDecisions();
     /// Returns the number of waiting jobs of each queue with active jobs.
-    std::vector<QueueLoad> queueLoads() const;
+    std::vector<QueueLoad> queueLoads(Instant now) const;
     /// Returns what each team with a configuration, or with active jobs, uses and waits for.
     std::vector<TeamLoad> teamLoads(Instant now) const;
     const std::map<WorkerId, WorkerState> &workers() const { return m_workers; }
--- a/src/node/fleetnode.cpp
+++ b/src/node/fleetnode.cpp
@@ -359,7 +359,7 @@
         web::json::value record = web::json::value::object();
         if (m_owner && m_owner->isLoaded()) {
             web::json::value waiting = web::json::value::object();
-            for (const QueueLoad &load : m_owner->queueLoads())
+            for (const QueueLoad &load : m_owner->queueLoads(monotonicNow()))
                 waiting[load.queue] = web::json::value(load.waitingJobs);
             record["waiting"] = waiting;
             record["countedMs"] = web::json::value(m_owner->jobsReadClockMs());
--- a/src/node/fleetowner.cpp
+++ b/src/node/fleetowner.cpp
@@ -104,9 +104,9 @@
     scheduleStep();
 }
 
-std::vector<QueueLoad> FleetOwner::queueLoads() const
+std::vector<QueueLoad> FleetOwner::queueLoads(Instant now) const
 {
-    return m_isLoaded ? m_scheduler.queueLoads() : std::vector<QueueLoad>();
+    return m_isLoaded ? m_scheduler.queueLoads(now) : std::vector<QueueLoad>();
 }
 
 LoadReport FleetOwner::loadReport(Instant now) const
@@ -180,7 +180,8 @@
 
 void FleetOwner::reportLoad(Instant now)
 {
-    m_load.report(m_scheduler.queueLoads(), Millis(m_view.tableTime(now) - m_jobsReadClockMs), now);
+    m_load.report(m_scheduler.queueLoads(now), Millis(m_view.tableTime(now) - m_jobsReadClockMs),
+                  now);
 }
 
 void FleetOwner::logHeldStarts(Instant now)
--- a/src/node/fleetowner.h
+++ b/src/node/fleetowner.h
@@ -44,7 +44,7 @@
     /// Must be called after the configuration or the waves of the FleetView have changed.
     void viewChanged();
     /// Returns the number of waiting jobs of each queue; empty until the jobs are loaded.
-    std::vector<QueueLoad> queueLoads() const;
+    std::vector<QueueLoad> queueLoads(Instant now) const;
     /// Returns what entry hosts need for early refusals.
     LoadReport loadReport(Instant now) const;
     /// Returns what each team uses and waits for; empty until the jobs are loaded.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// A worker usually confirms a start within a few milliseconds. A job whose first start is not
+/// confirmed after this time has probably not begun.
+constexpr Millis kStartConfirmationTime{1000};
+
 std::string textOf(Millis time)
 {
     return std::to_string(time.count());
@@ -335,7 +339,7 @@
     return std::exchange(m_decisions, {});
 }
 
-std::vector<QueueLoad> Scheduler::queueLoads() const
+std::vector<QueueLoad> Scheduler::queueLoads(Instant now) const
 {
     std::map<std::string, QueueLoad> loads;
     for (const JobId id : m_active) {
@@ -344,10 +348,11 @@
         load.queue = job.spec.queue.name;
         if (job.spec.occurrences > 0)
             continue;
-        if (job.state == JobState::Queued)
+        const bool isUnconfirmed = job.state == JobState::Running && !job.hasBegun;
+        if (job.state == JobState::Queued
+            || (isUnconfirmed && now - job.firstStart > kStartConfirmationTime))
             ++load.waitingJobs;
-        else if (!job.hasBegun)
-            ++load.unconfirmedJobs;
+        load.unconfirmedJobs += isUnconfirmed ? 1 : 0;
     }
     std::vector<QueueLoad> result;
     result.reserve(loads.size());
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -525,6 +525,7 @@
     if (job.state != JobState::Queued)
         return;
     job.state = JobState::Running;
+    job.firstStart = now;
     markLazilyDirty(job, now);
     const auto waited = std::chrono::duration_cast<Millis>(now - job.accepted);
     logDecision({"job_started",
