--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -52,7 +52,6 @@
 // Room is short when a job placed last would wait longer than this, and than half of its allowance.
 constexpr Millis kMinShortWait{500};
 constexpr Millis kRetryDelay{100};
-constexpr Millis kMaxReportAge{2500}; // the owner reports twice a second
 
 struct Stored
 {
@@ -210,7 +209,7 @@
 
 Reply CallerApi::waitingCount(const JobTarget &target)
 {
-    if (monotonicNow() - m_view.report.receivedAt > kMaxReportAge)
+    if (!m_view.areCountsKnown(monotonicNow()))
         return refuse(kUnavailable, "count_unknown", kRetryAfter);
     const auto found = m_view.report.waitingJobs.find(target.queue.name);
     const std::int64_t count = found == m_view.report.waitingJobs.end() ? 0 : found->second;
--- a/src/node/fleetview.h
+++ b/src/node/fleetview.h
@@ -62,6 +62,22 @@
     /// interval at which an owner renews its lease.
     static constexpr Millis kReportLifetime{750};
 
+    /// The greatest age of the owner's knowledge behind a count of waiting jobs. The platform
+    /// requires a count to include a job 3 s after its acceptance.
+    static constexpr Millis kMaxCountAge{3000};
+
+    /// The greatest time since `report` was received; an owner reports twice a second.
+    static constexpr Millis kMaxReportAge{2500};
+
+    /// Returns whether the counts of `report` may be given to callers. A row that was read just now
+    /// may be old: the owner may be lost, or behind with reading jobs.
+    bool areCountsKnown(Instant now) const
+    {
+        const bool isRecent = report.countedMs == 0
+            || tableTime(now) - report.countedMs <= kMaxCountAge.count();
+        return isRecent && now - report.receivedAt <= kMaxReportAge;
+    }
+
     /// Returns whether `report.load` is recent enough for decisions about admission.
     bool isLoadKnown(Instant now) const { return report.load.isUsable(tableTime(now)); }
 
