--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -52,7 +52,6 @@
 // Room is short when a job placed last would wait longer than this, and than half of its allowance.
 constexpr Millis kMinShortWait{500};
 constexpr Millis kRetryDelay{100};
-constexpr Millis kMaxReportAge{2500}; // the owner reports twice a second
 
 struct Stored
 {
@@ -210,11 +209,16 @@
 
 Reply CallerApi::waitingCount(const JobTarget &target)
 {
-    if (monotonicNow() - m_view.report.receivedAt > kMaxReportAge)
+    if (!m_view.areCountsKnown(monotonicNow()))
         return refuse(kUnavailable, "count_unknown", kRetryAfter);
     const auto found = m_view.report.waitingJobs.find(target.queue.name);
-    return jsonReply(
-        platform::encodeWaitingCount(found == m_view.report.waitingJobs.end() ? 0 : found->second));
+    const std::int64_t count = found == m_view.report.waitingJobs.end() ? 0 : found->second;
+    logInfo(
+        "waiting_count_answered",
+        {{"queue", target.queue.name},
+         {"count", std::to_string(count)},
+         {"age_ms", std::to_string(m_view.tableTime(monotonicNow()) - m_view.report.countedMs)}});
+    return jsonReply(platform::encodeWaitingCount(count));
 }
 
 asio::awaitable<TransactionResult> CallerApi::transact(Transaction transaction)
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// A worker usually confirms a start within a few milliseconds. A job whose first start is not
+/// confirmed after this time has probably not begun.
+constexpr Millis kStartConfirmationTime{1000};
+
 std::string textOf(Millis time)
 {
     return std::to_string(time.count());
@@ -92,6 +96,7 @@
     // while.
     job.isInherited = isInherited || accepted - m_termStart < m_settings.takeoverOverlap;
     job.inheritedProgress = progress.tasks;
+    job.hasBegun = !progress.tasks.empty();
     job.isReleased = progress.isReleased;
     job.isReleaseRecorded = progress.isReleased;
     const auto queue = m_queues.find(job.spec.queue.name);
@@ -334,15 +339,20 @@
     return std::exchange(m_decisions, {});
 }
 
-std::vector<QueueLoad> Scheduler::queueLoads() const
+std::vector<QueueLoad> Scheduler::queueLoads(Instant now) const
 {
     std::map<std::string, QueueLoad> loads;
     for (const JobId id : m_active) {
         const TrackedJob &job = m_jobs.at(id);
         QueueLoad &load = loads[job.spec.queue.name];
         load.queue = job.spec.queue.name;
-        if (job.state == JobState::Queued && job.spec.occurrences == 0)
+        if (job.spec.occurrences > 0)
+            continue;
+        const bool isUnconfirmed = job.state == JobState::Running && !job.hasBegun;
+        if (job.state == JobState::Queued
+            || (isUnconfirmed && now - job.firstStart > kStartConfirmationTime))
             ++load.waitingJobs;
+        load.unconfirmedJobs += isUnconfirmed ? 1 : 0;
     }
     std::vector<QueueLoad> result;
     result.reserve(loads.size());
