--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -200,6 +200,11 @@
     void beginIncarnation(WorkerState &worker, WorkerStartTime started, Instant now);
     bool haveAllLeasesExpired(const WorkerState &worker, Instant now, Millis slack) const;
 
+    // Workers that crash.
+    static bool mayCrashWorker(const WorkerRun &run);
+    static bool isEndExpected(const WorkerState &worker, Instant now);
+    void onWorkerCrashed(const WorkerState &worker, Instant now);
+
     // The stages of tick().
     void openOccurrences(std::int64_t wallClockMs);
     void openOccurrence(TrackedJob &job, int number);
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -116,6 +116,7 @@
     if (result != CallResult::OtherIncarnation || isForEarlierIncarnation(found->second, started))
         return &found->second;
     found->second.hasTerminated = true;
+    onWorkerCrashed(found->second, now);
     dropAllRuns(found->second, "another incarnation answered", now);
     return nullptr;
 }
--- a/src/scheduling/schedulerhosts.cpp
+++ b/src/scheduling/schedulerhosts.cpp
@@ -25,6 +25,12 @@
             return false;
         return !host->second->worker.empty() || host->second->state != HostInfo::State::Ready;
     };
+    const auto isMovedOrMaintained = [&](HostId id) {
+        const auto host = listed.find(id);
+        return host != listed.end()
+            && (host->second->state == HostInfo::State::Moving
+                || host->second->state == HostInfo::State::Maintenance);
+    };
     for (auto &[id, worker] : m_workers) {
         if (worker.hasTerminated || worker.listedAt >= requested)
             continue;
@@ -33,6 +39,8 @@
             continue;
         worker.hasTerminated = true;
         logDecision({"worker_without_host", {{"worker", id.name()}}});
+        if (!isMovedOrMaintained(worker.host))
+            onWorkerCrashed(worker, now);
         dropAllRuns(worker, "its host runs another worker or none", now);
     }
     std::erase_if(m_earlierWorkers,
--- a/src/scheduling/schedulerincarnations.cpp
+++ b/src/scheduling/schedulerincarnations.cpp
@@ -38,6 +38,7 @@
 
 void Scheduler::beginIncarnation(WorkerState &worker, WorkerStartTime started, Instant now)
 {
+    onWorkerCrashed(worker, now);
     const std::size_t runs = worker.runs.size();
     worker.info.started = started;
     worker.restartedAt = now;
