--- a/include/oleanderhall/jobs/jobprogress.h
+++ b/include/oleanderhall/jobs/jobprogress.h
@@ -12,7 +12,7 @@
 
 namespace oleanderhall {
 
-/// The stored progress of one task, of which at least one run has ended.
+/// The stored progress of one task, of which at least one run has ended or was lost in a crash.
 struct TaskProgress
 {
     int occurrence = 0;
@@ -20,6 +20,7 @@
     int index = 0;
     bool isDone = false;
     int failures = 0;
+    int crashes = 0; ///< Workers that crashed while a run of it was on them.
     std::vector<std::int64_t> endedRuns; ///< Runs whose end is recorded, in any order.
     std::string checkpoint;
 
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -204,6 +204,11 @@
     static bool mayCrashWorker(const WorkerRun &run);
     static bool isEndExpected(const WorkerState &worker, Instant now);
     void onWorkerCrashed(const WorkerState &worker, Instant now);
+    void addCrash(const TaskId &id, bool isOnlyJob, WorkerId worker, Instant now);
+    static bool isIsolated(const TrackedTask &task, Instant now);
+    static bool mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated);
+    static bool areCrashesRecorded(const TrackedJob &job, const TrackedTask &task);
+    void clearCrashes(const WorkerRun &run, Instant now);
 
     // The stages of tick().
     void openOccurrences(std::int64_t wallClockMs);
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -33,6 +33,7 @@
     bool usesIdleCores = false; ///< Reserves no cores.
     bool isLongRunning = false;
     bool allowsCopies = false; ///< Another run of the task may be active at the same time.
+    bool isIsolated = false; ///< Tasks of other jobs must not start on the worker.
     bool isCopy = false; ///< It was started while another run of the task was active.
     Millis latencyTarget{0};
     Millis expectedRunTime{0};
@@ -85,6 +86,7 @@
     /// Until then a command that this owner can't follow may end runs. A status whose poll was sent
     /// earlier doesn't show whether they go on.
     Instant distrustedUntil;
+    Instant hostCommandUntil; ///< Until then a command to its host may end the worker.
     Instant nextPoll;
     Instant nextCpuLimitChange; ///< When the CPU limits of its runs may change again.
     std::int64_t lastHandledEnd = 0; ///< The highest sequence of an end that was handled.
--- a/src/jobs/jobprogress.cpp
+++ b/src/jobs/jobprogress.cpp
@@ -2,6 +2,8 @@
 
 #include <cpprest/json.h>
 
+#include <algorithm>
+
 namespace oleanderhall {
 
 namespace {
@@ -35,6 +37,32 @@
     return task;
 }
 
+/// Encodes the tasks under which workers crashed. They are apart from the tasks' arrays, whose
+/// length earlier versions check.
+value encodeCrashes(const std::vector<TaskProgress> &tasks)
+{
+    value crashes = value::array();
+    for (const TaskProgress &task : tasks) {
+        if (task.crashes > 0)
+            crashes[crashes.size()] = value::array(
+                {value(task.occurrence), value(task.step), value(task.index), value(task.crashes)});
+    }
+    return crashes;
+}
+
+void decodeCrashes(const value &crashes, std::vector<TaskProgress> &tasks)
+{
+    for (const value &row : crashes.as_array()) {
+        const auto isTask = [&](const TaskProgress &task) {
+            return task.occurrence == row.at(0).as_integer() && task.step == row.at(1).as_integer()
+                && task.index == row.at(2).as_integer();
+        };
+        const auto task = std::find_if(tasks.begin(), tasks.end(), isTask);
+        if (task != tasks.end())
+            task->crashes = row.at(3).as_integer();
+    }
+}
+
 } // namespace
 
 std::string encodeProgress(const JobProgress &progress)
@@ -55,6 +83,8 @@
                                           value(progress.stillRunning.gpus)});
     if (tasks.size() > 0)
         record["tasks"] = tasks;
+    if (const value crashes = encodeCrashes(progress.tasks); crashes.size() > 0)
+        record["crashes"] = crashes;
     return record.serialize();
 }
 
@@ -80,6 +110,8 @@
             for (const value &row : record.at("tasks").as_array())
                 progress.tasks.push_back(decodeTask(row));
         }
+        if (record.has_field("crashes"))
+            decodeCrashes(record.at("crashes"), progress.tasks);
         return progress;
     } catch (const web::json::json_exception &) {
         return std::nullopt; // callers log the error with the job's id
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -154,6 +154,7 @@
             continue;
         TrackedTask &task = step.tasks[static_cast<std::size_t>(known.index)];
         task.failures = known.failures;
+        task.crashes = known.crashes;
         task.endedRuns = known.endedRuns;
         for (const std::int64_t run : known.endedRuns)
             task.lastRun = std::max(task.lastRun, run);
@@ -213,8 +214,11 @@
 void Scheduler::distrustRuns(WorkerId worker, Instant until)
 {
     const auto found = m_workers.find(worker);
-    if (found != m_workers.end())
-        found->second.distrustedUntil = std::max(found->second.distrustedUntil, until);
+    if (found == m_workers.end())
+        return;
+    WorkerState &state = found->second;
+    state.distrustedUntil = std::max(state.distrustedUntil, until);
+    state.hostCommandUntil = std::max(state.hostCommandUntil, until);
 }
 
 void Scheduler::onWorkerTerminated(WorkerId worker, Instant requested, Instant now)
@@ -368,7 +372,7 @@
             const auto &tasks = occurrence.steps[step].tasks;
             for (std::size_t index = 0; index < tasks.size(); ++index) {
                 const TrackedTask &task = tasks[index];
-                if (!task.isDone && task.endedRuns.empty())
+                if (!task.isDone && task.endedRuns.empty() && task.crashes == 0)
                     continue;
                 progress.tasks.push_back(
                     {.occurrence = occurrence.number,
@@ -376,6 +380,7 @@
                      .index = static_cast<int>(index),
                      .isDone = task.isDone,
                      .failures = task.failures,
+                     .crashes = task.isDone ? 0 : task.crashes,
                      .endedRuns = task.isDone ? std::vector<std::int64_t>() : task.endedRuns,
                      .checkpoint = task.isDone ? std::string() : task.checkpoint});
             }
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -1,4 +1,5 @@
-// Workers that crash: which of their runs may be the cause.
+// Tasks that crash their workers: which runs may have caused a crash, which tasks run apart from
+// other jobs, and which jobs are given up.
 #include "oleanderhall/scheduling/scheduler.h"
 
 #include <algorithm>
@@ -10,6 +11,17 @@
 constexpr int kReadyPercent = 100;
 constexpr std::size_t kMaxTasksPerLine = 32; // of a log line, which is cut at 2 KB
 
+/// A task whose workers crashed as often runs apart from other jobs, so that the next crash shows
+/// its cause and costs no one else. Two crashes of sound tasks are rare also when many workers
+/// fail.
+constexpr int kCrashesBeforeIsolation = 2;
+/// As many crashes end the job also when other jobs ran on each of the workers. The platform allows
+/// two starts after the third crash, and a change of owner may lose the count of one crash.
+constexpr int kMaxCrashes = 4;
+/// How long a task waits for a worker without other jobs. After that it shares one again, as a
+/// busy pool may not have any.
+constexpr Millis kMaxIsolationWait{2000};
+
 } // namespace
 
 /// Returns whether the run may crash its worker. A long-running task that was ready has proved that
@@ -22,27 +34,86 @@
 /// Returns whether the end of the worker was announced, or a host command may have caused it.
 bool Scheduler::isEndExpected(const WorkerState &worker, Instant now)
 {
-    return worker.info.isDraining || worker.isTerminating || now < worker.distrustedUntil;
+    return worker.info.isDraining || worker.isTerminating || now < worker.hostCommandUntil;
 }
 
-/// Records that the worker has terminated without notice, before its runs are dropped.
+/// Records that the worker has terminated without notice, before its runs are dropped. Gives up the
+/// jobs whose tasks have certainly, or too often, caused such an end.
 void Scheduler::onWorkerCrashed(const WorkerState &worker, Instant now)
 {
     if (worker.runs.empty() || isEndExpected(worker, now))
         return;
-    std::string tasks;
-    std::size_t suspects = 0;
+    std::vector<TaskId> suspects;
+    std::set<JobId> jobs;
     for (const WorkerRun &run : worker.runs) {
-        if (!mayCrashWorker(run) || ++suspects > kMaxTasksPerLine)
+        if (!mayCrashWorker(run))
             continue;
-        tasks += (tasks.empty() ? "" : " ") + textOf(run.task);
+        suspects.push_back(run.task);
+        jobs.insert(run.task.job);
     }
+    std::string tasks;
+    for (std::size_t index = 0; index < std::min(suspects.size(), kMaxTasksPerLine); ++index)
+        tasks += (tasks.empty() ? "" : " ") + textOf(suspects[index]);
     logDecision({"worker_crashed",
                  {{"worker", worker.info.id.name()},
                   {"runs", std::to_string(worker.runs.size())},
-                  {"suspects", std::to_string(suspects)},
+                  {"suspects", std::to_string(suspects.size())},
                   {"tasks", tasks}},
                  true});
+    for (const TaskId &id : suspects)
+        addCrash(id, jobs.size() == 1, worker.info.id, now);
+}
+
+/// Counts a crash of `worker` against one of its tasks. `isOnlyJob` tells that no other job's task
+/// may have caused it.
+void Scheduler::addCrash(const TaskId &id, bool isOnlyJob, WorkerId worker, Instant now)
+{
+    TrackedTask *task = findTask(id);
+    if (!task || task->isDone)
+        return;
+    TrackedJob &job = m_jobs.at(id.job);
+    if (isFinal(job.state))
+        return;
+    ++task->crashes;
+    markDirty(job);
+    if (task->crashes < (isOnlyJob ? kCrashesBeforeIsolation : kMaxCrashes))
+        return;
+    logDecision({"job_given_up",
+                 {{"job", textOf(id.job)},
+                  {"task", textOf(id)},
+                  {"crashes", std::to_string(task->crashes)},
+                  {"worker", worker.name()}},
+                 true});
+    finish(job, JobState::Failed, now);
+}
+
+/// Returns whether the task starts only on workers without tasks of other jobs.
+bool Scheduler::isIsolated(const TrackedTask &task, Instant now)
+{
+    return task.crashes >= kCrashesBeforeIsolation && now - task.waitingSince < kMaxIsolationWait;
+}
+
+/// Returns whether a task of the job may run beside `other`.
+bool Scheduler::mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated)
+{
+    return other.task.job == job || !(other.isIsolated || (isIsolated && mayCrashWorker(other)));
+}
+
+/// Returns whether the number of crashes under the task is durable as far as its next start depends
+/// on it.
+bool Scheduler::areCrashesRecorded(const TrackedJob &job, const TrackedTask &task)
+{
+    return task.crashes < kCrashesBeforeIsolation || job.isRecorded;
+}
+
+/// A long-running task that is ready has not crashed this worker when it started.
+void Scheduler::clearCrashes(const WorkerRun &run, Instant now)
+{
+    TrackedTask *task = findTask(run.task);
+    if (!run.isLongRunning || mayCrashWorker(run) || !task || task->crashes == 0)
+        return;
+    task->crashes = 0;
+    markLazilyDirty(m_jobs.at(run.task.job), now);
 }
 
 } // namespace oleanderhall
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -67,7 +67,8 @@
 
 bool Scheduler::mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const
 {
-    return !task.isDone && !task.isPlaced && areEarlierRunsKnown(job, task, now);
+    return !task.isDone && !task.isPlaced && areEarlierRunsKnown(job, task, now)
+        && areCrashesRecorded(job, task);
 }
 
 /// Returns whether no run that an earlier owner may have started is unknown to this owner.
@@ -424,6 +425,7 @@
         need.milliCores = 0;
     WorkerState *best = nullptr;
     double bestScore = 0;
+    const bool isAlone = isIsolated(task, now);
     const PoolState &pool = m_pools[job.spec.queue.pool];
     const bool isReservedFor = pool.reservation.position
         == StepPosition{job.spec.id, static_cast<int>(&occurrence - job.occurrences.data()), step};
@@ -439,6 +441,11 @@
         if (job.spec.queue.advice
             && m_tickets.find({job.spec.id, occurrence.number, step}, id, now).empty())
             continue;
+        const auto isCompatible = [&](const WorkerRun &run) {
+            return mayRunBeside(run, job.spec.id, isAlone);
+        };
+        if (!std::all_of(worker.runs.begin(), worker.runs.end(), isCompatible))
+            continue;
         int sameStep = 0;
         int serving = 0;
         int onIdleCores = 0;
@@ -501,6 +508,7 @@
     run.allowsCopies = allowsCopies(spec);
     run.showsSpeed = showsSpeed(spec);
     run.expectedRunTime = m_runTimes.expected(job.spec.queue.name, spec);
+    run.isIsolated = isIsolated(task, now);
     if (task.isPlaced) {
         trackCopy(task, run, worker.info.id);
     } else {
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -32,7 +32,7 @@
                                    + (worker.restartedAt == Instant{} ? m_settings.workerLease
                                                                       : m_settings.maxWorkerLease));
         // A run that the earlier owner has stopped is listed until the stop is complete.
-        distrustRuns(worker.info.id, now + m_settings.stopTimeout);
+        worker.distrustedUntil = std::max(worker.distrustedUntil, now + m_settings.stopTimeout);
         m_needsPlacement = true;
     }
     worker.statusSent = std::max(worker.statusSent, sent);
@@ -83,6 +83,7 @@
         known->progressPercent = reported.progressPercent;
         known->checkpoint = reported.checkpoint;
         known->recentLoad = reported.recentLoad;
+        clearCrashes(*known, now);
         return;
     }
     const StepSpec *spec = findSpec(reported.task);
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -92,6 +92,14 @@
     }));
 }
 
+TEST_CASE("JobProgress_workersCrashedUnderATask_theCountIsRestored", "[jobs]")
+{
+    // Guards against a new owner that lets the task crash as many workers again.
+    const JobProgress progress{.id = {77},
+                               .tasks = {{.step = 1, .endedRuns = {1}}, {.step = 2, .crashes = 2}}};
+    CHECK(decodeProgress({77}, encodeProgress(progress)) == progress);
+}
+
 TEST_CASE("JobProgress_endedJobStillUsesResources_isRestored", "[jobs]")
 {
     const JobProgress progress{.id = {77},
--- /dev/null
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -0,0 +1,274 @@
+// Guards against one task that crashes worker after worker, and against jobs that are given up
+// because they shared a worker with it. The load: a burst of batch jobs that fills the pool, a
+// tenth of which have such a task.
+#include "../support/schedulerfixture.h"
+
+#include <algorithm>
+
+using namespace oleanderhall;
+using namespace oleanderhall::test;
+
+namespace {
+
+/// A pool of workers of 64 cores. A task of a deadly job crashes its worker when it starts; another
+/// one takes the worker's place on the host after some seconds.
+class CrashWorld
+{
+public:
+    static constexpr Millis kStep{10};
+    static constexpr Millis kRunTime{800};
+
+    explicit CrashWorld(int hosts)
+    {
+        for (int index = 0; index < hosts; ++index)
+            m_hosts.push_back({.id = HostId("h" + std::to_string(index)),
+                               .worker = makeWorker("w" + std::to_string(index), "pool", 64000)});
+        list();
+        run(Millis(1000)); // until no stop of an earlier owner is under way
+    }
+
+    /// Submits a job of `tasks` tasks; the first one is deadly if `isDeadly`.
+    void submit(std::uint64_t id, int tasks, bool isDeadly)
+    {
+        StepSpec step = makeStep(tasks, kRunTime);
+        step.need = {.milliCores = 3500, .memoryMb = 10};
+        if (isDeadly)
+            m_deadly.insert(JobId{id});
+        m_scheduler->addJob(makeJob(id, "pool", {step}), {.id = JobId{id}, .isReleased = true},
+                            false, now);
+    }
+
+    void run(Millis time)
+    {
+        for (const Instant end = now + time; now < end; now += kStep)
+            step();
+    }
+
+    /// Replaces the owner; its successor knows what was recorded.
+    void changeOwner()
+    {
+        std::map<JobId, std::pair<JobSpec, JobProgress>> jobs;
+        for (const auto &[id, job] : m_scheduler->jobs()) {
+            const auto record = m_records.find(id);
+            const JobProgress progress = record != m_records.end()
+                ? record->second
+                : JobProgress{.id = id, .isReleased = true};
+            jobs[id] = {job.spec, progress};
+        }
+        m_scheduler.emplace(SchedulerSettings{}, ++m_generation, now);
+        list();
+        for (auto &[id, job] : jobs)
+            m_scheduler->addJob(job.first, job.second, true, now);
+    }
+
+    JobState stateOf(std::uint64_t id) const { return m_scheduler->jobs().at(JobId{id}).state; }
+    int startsOf(const TaskId &task) const
+    {
+        const auto found = m_starts.find(task);
+        return found == m_starts.end() ? 0 : found->second;
+    }
+
+    int crashes = 0;
+    Instant now{std::chrono::hours(1)};
+
+private:
+    struct Host
+    {
+        HostId id;
+        WorkerInfo worker;
+        bool isUp = true;
+        Instant upAt; ///< When the next worker runs, after a crash.
+        std::map<TaskId, std::pair<std::int64_t, Instant>> running; ///< Run and end of each.
+        std::vector<EndedRun> ended;
+        std::int64_t ends = 0;
+    };
+    static constexpr Millis kRestartTime{3000};
+    static constexpr Millis kHostListInterval{300};
+
+    void list()
+    {
+        std::vector<WorkerInfo> workers;
+        std::vector<HostInfo> hosts;
+        for (const Host &host : m_hosts) {
+            if (host.isUp)
+                workers.push_back(host.worker);
+            hosts.push_back({.id = host.id,
+                             .pool = PoolId("pool"),
+                             .state = host.isUp ? HostInfo::State::Ready : HostInfo::State::Down,
+                             .worker = host.isUp ? host.worker.id : WorkerId()});
+        }
+        m_scheduler->setWorkers(workers, now);
+        m_scheduler->updateHosts(hosts, now, now);
+        m_nextList = now + kHostListInterval;
+    }
+
+    Host *hostOf(WorkerId worker)
+    {
+        const auto found = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Host &host) {
+            return host.isUp && host.worker.id == worker;
+        });
+        return found == m_hosts.end() ? nullptr : &*found;
+    }
+
+    void crash(Host &host)
+    {
+        ++crashes;
+        host = {.id = host.id,
+                .worker = makeWorker("w" + std::to_string(crashes) + "-" + host.id.name(), "pool",
+                                     64000),
+                .isUp = false,
+                .upAt = now + kRestartTime};
+    }
+
+    void handle(const StartCommand &command)
+    {
+        Host *host = hostOf(command.worker);
+        if (!host) {
+            m_scheduler->onStartResult(command, CallResult::NotSent, now);
+            return;
+        }
+        ++m_starts[command.task];
+        if (m_deadly.contains(command.task.job) && command.task.index == 0) {
+            crash(*host);
+            m_scheduler->onStartResult(command, CallResult::Unknown, now);
+            return;
+        }
+        host->running[command.task] = {command.run, now + kRunTime};
+        m_scheduler->onStartResult(command, CallResult::Ok, now);
+    }
+    void handle(const StopCommand &command)
+    {
+        Host *host = hostOf(command.worker);
+        if (host)
+            host->running.erase(command.task);
+        m_scheduler->onStopResult(command, host ? CallResult::Ok : CallResult::NotSent, now);
+    }
+    void handle(const PollRequest &request)
+    {
+        Host *host = hostOf(request.worker);
+        if (!host) {
+            m_scheduler->onPollResult(request, CallResult::NotSent, {}, now, now);
+            return;
+        }
+        std::erase_if(host->ended, [&](const EndedRun &ended) {
+            return ended.sequence <= request.acknowledgedEnd;
+        });
+        WorkerStatus status{.clock = std::chrono::duration_cast<Millis>(now.time_since_epoch()),
+                            .ended = host->ended};
+        for (const auto &[task, run] : host->running)
+            status.running.push_back({.task = task, .run = run.first});
+        m_scheduler->onPollResult(request, CallResult::Ok, status, now, now);
+    }
+    void handle(const ProgressWrite &write)
+    {
+        for (const JobProgress &update : write.updates)
+            m_records[update.id] = update;
+        m_scheduler->onProgressWritten(write.batch, true, now);
+    }
+    void handle(const CpuLimitCommand &) {}
+    void handle(const AdviceRequest &) {}
+
+    void step()
+    {
+        for (Host &host : m_hosts) {
+            for (auto run = host.running.begin(); run != host.running.end();) {
+                if (run->second.second > now) {
+                    ++run;
+                    continue;
+                }
+                host.ended.push_back({.sequence = ++host.ends,
+                                      .task = run->first,
+                                      .run = run->second.first,
+                                      .runOutcome = RunOutcome::Done});
+                run = host.running.erase(run);
+            }
+            host.isUp = host.isUp || now >= host.upAt;
+        }
+        if (now >= m_nextList)
+            list();
+        for (const SchedulerAction &action : m_scheduler->tick(now, 0))
+            std::visit([this](const auto &request) { handle(request); }, action);
+    }
+
+    std::optional<Scheduler> m_scheduler{std::in_place, SchedulerSettings{}, 0, now};
+    std::int64_t m_generation = 0;
+    std::vector<Host> m_hosts;
+    std::set<JobId> m_deadly;
+    std::map<TaskId, int> m_starts;
+    std::map<JobId, JobProgress> m_records;
+    Instant m_nextList;
+};
+
+} // namespace
+
+TEST_CASE("Scheduler_taskCrashesItsWorkers_isGivenUpBeforeTheFourthCrash", "[scheduling]")
+{
+    CrashWorld world(8);
+    world.submit(1, 6, true);
+    world.run(Millis(20000));
+    CHECK(world.stateOf(1) == JobState::Failed);
+    CHECK(world.crashes <= 3);
+}
+
+TEST_CASE("Scheduler_tenthOfABurstCrashesWorkers_onlyTheseJobsAreGivenUp", "[scheduling]")
+{
+    CrashWorld world(24);
+    constexpr std::uint64_t kJobs = 100;
+    for (std::uint64_t id = 1; id <= kJobs; ++id) {
+        world.submit(id, 6, id % 10 == 0);
+        world.run(Millis(100));
+    }
+    world.run(Millis(60000));
+    for (std::uint64_t id = 1; id <= kJobs; ++id) {
+        INFO("job " << id);
+        CHECK(world.stateOf(id) == (id % 10 == 0 ? JobState::Failed : JobState::Completed));
+        if (id % 10 == 0)
+            CHECK(world.startsOf({.job = JobId{id}}) <= 3);
+    }
+}
+
+TEST_CASE("Scheduler_ownersChangeBetweenCrashes_successorsCountThemAll", "[scheduling]")
+{
+    CrashWorld world(8);
+    world.submit(1, 1, true);
+    for (int owner = 0; owner < 6; ++owner) {
+        world.run(Millis(1500));
+        world.changeOwner();
+    }
+    world.run(Millis(20000));
+    CHECK(world.stateOf(1) == JobState::Failed);
+    // The rule of the platform: no more than two starts after three crashes.
+    CHECK(world.crashes <= 5);
+}
+
+TEST_CASE("Scheduler_workersCrashAsSoonAsTheyJoin_areCountedToo", "[scheduling]")
+{
+    // Guards against crashes that are taken for the end of a stop that an earlier owner has sent:
+    // a full pool starts tasks on a worker as soon as it has joined.
+    CrashWorld world(2);
+    world.submit(1, 1, true);
+    world.run(Millis(20000));
+    CHECK(world.stateOf(1) == JobState::Failed);
+    CHECK(world.crashes <= 3);
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_workersDrainAndLeave_theirTasksAreNotSuspected",
+                 "[scheduling]")
+{
+    // Guards against jobs that are given up because their workers are taken away.
+    submit(makeJob(1, "pool", {makeStep(1, Millis(60000))}));
+    for (int round = 0; round < 6; ++round) {
+        WorkerInfo worker = makeWorker("n" + std::to_string(round), "pool", 8000);
+        scheduler.setWorkers({worker}, now);
+        scheduler.updateHosts({makeHost("h1", worker.id)}, now, now);
+        syncAllWorkers();
+        const std::vector<StartCommand> starts = tick<StartCommand>();
+        REQUIRE(starts.size() == 1);
+        confirm(starts);
+        worker.isDraining = true;
+        scheduler.setWorkers({worker}, now);
+        advance(Millis(10));
+        scheduler.updateHosts({makeHost("h1", WorkerId())}, now, now);
+    }
+    CHECK(scheduler.jobs().at(JobId{1}).state == JobState::Running);
+}
