--- a/src/scheduling/schedulerincarnations.cpp
+++ b/src/scheduling/schedulerincarnations.cpp
@@ -38,6 +38,7 @@
 
 void Scheduler::beginIncarnation(WorkerState &worker, WorkerStartTime started, Instant now)
 {
+    onWorkerCrashed(worker, now);
     const std::size_t runs = worker.runs.size();
     worker.info.started = started;
     worker.restartedAt = now;
@@ -58,6 +59,8 @@
             // Its start or stop may have reached either process; the next status shows it.
             run.isStopConfirmed = false;
             run.nextSend = now;
+            if (const TrackedTask *task = findTask(run.task); task && isIsolated(*task, now))
+                requestStop(run, now); // it must not start beside other jobs
             ++index;
             continue;
         }
