--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -106,13 +106,18 @@
     return task.crashes < kCrashesBeforeIsolation || job.isRecorded;
 }
 
-/// A long-running task that is ready has not crashed this worker when it started.
-void Scheduler::clearCrashes(const WorkerRun &run, Instant now)
+/// Ends the isolation of a long-running task that is ready: it hasn't crashed this worker when it
+/// started.
+void Scheduler::clearCrashes(WorkerRun &run, Instant now)
 {
+    if (!run.isLongRunning || mayCrashWorker(run))
+        return;
+    run.isIsolated = false;
     TrackedTask *task = findTask(run.task);
-    if (!run.isLongRunning || mayCrashWorker(run) || !task || task->crashes == 0)
+    if (!task || task->crashes == 0)
         return;
     task->crashes = 0;
+    m_needsPlacement = true;
     markLazilyDirty(m_jobs.at(run.task.job), now);
 }
 
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -252,6 +252,28 @@
     CHECK(world.crashes <= 3);
 }
 
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_suspectedLongRunningTaskIsReady_sharesItsWorkerAgain",
+                 "[scheduling]")
+{
+    // Guards against a pool whose workers are all kept for long-running tasks that crashes of their
+    // earlier workers have made suspect.
+    scheduler.setWorkers({makeWorker("n", "pool", 8000)}, now);
+    scheduler.updateHosts({makeHost("h", WorkerId("n"))}, now, now);
+    syncAllWorkers();
+    JobSpec job = longRunningJob(1, 1, 1);
+    const JobProgress progress{.id = job.id, .isReleased = true, .tasks = {{.crashes = 2}}};
+    scheduler.addJob(job, progress, false, now);
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    confirm(starts);
+    submit(makeJob(2, "pool", {makeStep(1, Millis(500))}));
+    advance(Millis(10));
+    CHECK(tick<StartCommand>().empty());
+    reportReady(starts);
+    advance(Millis(10));
+    CHECK(tick<StartCommand>().size() == 1);
+}
+
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_workersDrainAndLeave_theirTasksAreNotSuspected",
                  "[scheduling]")
 {
