--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -145,6 +145,7 @@
         std::map<TeamId, Resources> used; ///< Reserved by the runs of each team.
         std::map<TeamId, RefusedStep> refused; ///< The step of each team that was refused last.
         CapacityReservation reservation;
+        std::set<WorkerId> quarantine; ///< Workers that start only isolated tasks.
         StepQueues ranked; ///< As of the last ranking; steps without tasks are removed.
         Instant nextRanking;
         Instant nextCopies; ///< When to look for stragglers again.
@@ -209,6 +210,8 @@
     static bool mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated);
     static bool areCrashesRecorded(const TrackedJob &job, const TrackedTask &task);
     void clearCrashes(WorkerRun &run, Instant now);
+    std::set<JobId> jobsAwaitingIsolation(PoolId pool, Instant now);
+    void updateQuarantine(PoolId id, PoolState &pool, Instant now);
 
     // The stages of tick().
     void openOccurrences(std::int64_t wallClockMs);
@@ -243,7 +246,7 @@
 
     // Placement.
     void place(Instant now, std::vector<SchedulerAction> &out);
-    void placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
+    void placePool(PoolId id, PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
     void rankSteps(PoolState &pool, Instant now);
     bool hasTasksToStart(const StepPosition &candidate) const;
     void groupWorkersByPool();
@@ -328,6 +331,8 @@
     /// Jobs of teams that an earlier owner may have started; empty once its runs can't go on.
     std::vector<JobId> m_possiblyStarted;
     Instant m_nextPossibleCount;
+    /// Tasks that start isolated; also some that have ended since.
+    std::set<TaskId> m_suspectTasks;
     TicketCache m_tickets;
     std::set<JobId> m_dirty; ///< Jobs with progress to be recorded.
     JobId m_firstDirty; ///< The next write begins with this job, so that none waits forever.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -160,6 +160,8 @@
         TrackedTask &task = step.tasks[static_cast<std::size_t>(known.index)];
         task.failures = known.failures;
         task.crashes = known.crashes;
+        if (known.crashes > 0)
+            m_suspectTasks.insert({job.spec.id, number, known.step, known.index});
         task.endedRuns = known.endedRuns;
         for (const std::int64_t run : known.endedRuns)
             task.lastRun = std::max(task.lastRun, run);
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -18,9 +18,10 @@
 /// As many crashes end the job also when other jobs ran on each of the workers. The platform allows
 /// two starts after the third crash, and a change of owner may lose the count of one crash.
 constexpr int kMaxCrashes = 4;
-/// How long a task waits for a worker without other jobs. After that it shares one again, as a
-/// busy pool may not have any.
-constexpr Millis kMaxIsolationWait{2000};
+/// How long a task waits for a worker without other jobs. After that it shares one again, so that
+/// it starts also in a pool where no worker becomes free.
+constexpr Millis kMaxIsolationWait{5000};
+constexpr std::size_t kMaxQuarantinedShare = 4; // at most one in so many workers of a pool
 
 } // namespace
 
@@ -75,6 +76,8 @@
     if (isFinal(job.state))
         return;
     ++task->crashes;
+    if (task->crashes >= kCrashesBeforeIsolation)
+        m_suspectTasks.insert(id);
     markDirty(job);
     if (task->crashes < (isOnlyJob ? kCrashesBeforeIsolation : kMaxCrashes))
         return;
@@ -93,6 +96,57 @@
     return task.crashes >= kCrashesBeforeIsolation && now - task.waitingSince < kMaxIsolationWait;
 }
 
+/// Returns the pool's jobs with a task that waits for a worker without other jobs.
+std::set<JobId> Scheduler::jobsAwaitingIsolation(PoolId pool, Instant now)
+{
+    std::erase_if(m_suspectTasks, [&](const TaskId &id) {
+        const TrackedTask *task = findTask(id);
+        return !task || task->isDone || task->crashes < kCrashesBeforeIsolation
+            || isFinal(m_jobs.at(id.job).state);
+    });
+    std::set<JobId> jobs;
+    for (const TaskId &id : m_suspectTasks) {
+        const TrackedTask &task = *findTask(id);
+        if (!task.isPlaced && isIsolated(task, now) && m_jobs.at(id.job).spec.queue.pool == pool)
+            jobs.insert(id.job);
+    }
+    return jobs;
+}
+
+/// Keeps workers free for tasks that wait to run apart from other jobs: in a busy pool no worker
+/// becomes free by itself.
+void Scheduler::updateQuarantine(PoolId id, PoolState &pool, Instant now)
+{
+    if (m_suspectTasks.empty()) {
+        pool.quarantine.clear();
+        return;
+    }
+    std::erase_if(pool.quarantine, [&](WorkerId worker) {
+        const auto found = m_workers.find(worker);
+        return found == m_workers.end() || found->second.info.pool != id
+            || !found->second.acceptsNewTasks(now);
+    });
+    const std::size_t wanted = std::min(jobsAwaitingIsolation(id, now).size(),
+                                        pool.workers.size() / kMaxQuarantinedShare);
+    while (pool.quarantine.size() > wanted)
+        pool.quarantine.erase(pool.quarantine.begin());
+    if (pool.quarantine.size() == wanted)
+        return;
+    std::vector<std::pair<std::ptrdiff_t, WorkerId>> byRuns; // the number of runs to wait for
+    for (const WorkerState *worker : pool.workers) {
+        if (worker->acceptsNewTasks(now) && !pool.quarantine.contains(worker->info.id))
+            byRuns.emplace_back(
+                std::count_if(worker->runs.begin(), worker->runs.end(), mayCrashWorker),
+                worker->info.id);
+    }
+    std::sort(byRuns.begin(), byRuns.end());
+    for (const auto &[runs, worker] : byRuns) {
+        if (pool.quarantine.size() == wanted)
+            return;
+        pool.quarantine.insert(worker);
+    }
+}
+
 /// Returns whether a task of the job may run beside `other`.
 bool Scheduler::mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated)
 {
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -204,7 +204,7 @@
     std::rotate(pools.begin(), std::lower_bound(pools.begin(), pools.end(), m_firstPool),
                 pools.end());
     for (auto pool = pools.begin(); pool != pools.end(); ++pool) {
-        placePool(m_pools.at(*pool), now, out);
+        placePool(*pool, m_pools.at(*pool), now, out);
         placeCopies(m_pools.at(*pool), now, out);
         if (!m_startWindow.isOpen()) {
             m_firstPool = pool + 1 == pools.end() ? pools.front() : *(pool + 1);
@@ -214,8 +214,10 @@
     }
 }
 
-void Scheduler::placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out)
+void Scheduler::placePool(PoolId id, PoolState &pool, Instant now,
+                          std::vector<SchedulerAction> &out)
 {
+    updateQuarantine(id, pool, now);
     if (now >= pool.nextRanking) {
         rankSteps(pool, now);
         pool.nextRanking = now + pool.ranked.size() * kRankingIntervalPerStep;
@@ -432,7 +434,8 @@
     for (WorkerState *candidate : pool.workers) {
         WorkerState &worker = *candidate;
         const WorkerId id = worker.info.id;
-        if (!isReservedFor && pool.reservation.workers.contains(id))
+        if ((!isReservedFor && pool.reservation.workers.contains(id))
+            || (!isAlone && pool.quarantine.contains(id)))
             continue;
         if (!worker.acceptsNewTasks(now) || !need.fitsInto(worker.freeCapacity())
             || (task.isPlaced && id == task.worker) // a copy runs elsewhere
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -227,6 +227,27 @@
     }
 }
 
+TEST_CASE("Scheduler_poolStaysFullWhileTasksCrashWorkers_suspectsStillRunApart", "[scheduling]")
+{
+    // Guards against suspected tasks that find no worker without other jobs in a pool without room,
+    // so that each crash goes on to cost sound jobs their runs. Jobs arrive faster than the pool
+    // can run them.
+    CrashWorld world(8);
+    constexpr std::uint64_t kJobs = 360;
+    const auto isDeadly = [](std::uint64_t id) { return id <= 100 && id % 25 == 0; };
+    for (std::uint64_t id = 1; id <= kJobs; ++id) {
+        world.submit(id, 8, isDeadly(id));
+        world.run(Millis(30));
+    }
+    world.run(Millis(60000));
+    for (std::uint64_t id = 1; id <= kJobs; ++id) {
+        INFO("job " << id);
+        CHECK(world.stateOf(id) == (isDeadly(id) ? JobState::Failed : JobState::Completed));
+        if (isDeadly(id))
+            CHECK(world.startsOf({.job = JobId{id}}) <= 3);
+    }
+}
+
 TEST_CASE("Scheduler_ownersChangeBetweenCrashes_successorsCountThemAll", "[scheduling]")
 {
     CrashWorld world(8);
