--- a/src/node/fleetview.h
+++ b/src/node/fleetview.h
@@ -84,11 +84,12 @@
     /// Returns whether the owner may start a new job of the queue without recording its release
     /// first. If jobs of the queue wait, the owner releases the new one in its turn. If the owner
     /// seems lost, its successor must be able to tell that the job was never started: a released
-    /// job waits for the leases of workers that the successor can't reach.
+    /// job waits for the leases of workers that the successor can't reach. A report that was read
+    /// just now may be that of an owner that was lost long ago.
     bool mayReleaseAtOnce(const std::string &queue, Instant now) const
     {
         const auto waiting = report.waitingJobs.find(queue);
-        return now - report.receivedAt <= kReportLifetime
+        return now - report.receivedAt <= kReportLifetime && areCountsKnown(now)
             && (waiting == report.waitingJobs.end() || waiting->second == 0);
     }
 };
--- a/tests/node/fleetview_test.cpp
+++ b/tests/node/fleetview_test.cpp
@@ -68,3 +68,12 @@
     CHECK(view.areCountsKnown(now + FleetView::kMaxReportAge));
     CHECK_FALSE(view.areCountsKnown(now + FleetView::kMaxReportAge + Millis(1)));
 }
+
+TEST_CASE_METHOD(FleetViewTest, "FleetView_rowOfALostOwnerIsRead_leavesTheReleaseToItsSuccessor",
+                 "[node]")
+{
+    // Guards against jobs that wait for leases because a node that has just started, or lost its
+    // place in the table's history, reads the last report of an owner that is long gone.
+    view.report.countedMs = view.tableClockMs - 10000;
+    CHECK_FALSE(view.mayReleaseAtOnce("idle", now));
+}
