--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -262,6 +262,7 @@
                   Instant now, std::vector<SchedulerAction> &out);
     void noteStarted(TrackedJob &job, Instant now);
     void noteBegun(const TaskId &task);
+    void noteNotStarted(const TaskId &task);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
     bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now) const;
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -76,7 +76,9 @@
     bool isOverRate = false; ///< Its team sent it beyond its rate.
     bool hasBegun = false; ///< A worker has confirmed that a task of it runs or has ended.
     Instant accepted;
-    Instant firstStart; ///< When a start of a task was first sent; the epoch if by another owner.
+    /// When a start of a task was first sent; the epoch if by another owner, or if no task of the
+    /// job that has not begun is on a worker any more.
+    Instant firstStart;
     Instant ended;
     std::vector<Occurrence> occurrences;
     std::vector<TaskProgress> inheritedProgress; ///< As recorded by earlier owners.
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -209,6 +209,7 @@
     const WorkerRun ended = *run;
     removeRun(worker, static_cast<std::size_t>(run - worker.runs.data()));
     unplace(ended, now);
+    noteNotStarted(ended.task);
 }
 
 void Scheduler::onStopResult(const StopCommand &command, CallResult result, Instant now)
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -551,6 +551,21 @@
         job->second.hasBegun = true;
 }
 
+/// Records that the start of the task was certainly not carried out.
+void Scheduler::noteNotStarted(const TaskId &task)
+{
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || job->second.hasBegun)
+        return;
+    for (const Occurrence &occurrence : job->second.occurrences) {
+        for (const TrackedStep &step : occurrence.steps) {
+            if (step.placedTasks > 0)
+                return;
+        }
+    }
+    job->second.firstStart = {};
+}
+
 StartCommand Scheduler::makeStartCommand(WorkerState &worker, const TrackedJob &job,
                                          const WorkerRun &run, Instant now)
 {
--- a/tests/scheduling/schedulerwaitingcount_test.cpp
+++ b/tests/scheduling/schedulerwaitingcount_test.cpp
@@ -67,3 +67,13 @@
                {{.task = starts.front().task, .run = starts.front().run}});
     CHECK(waiting() == 0);
 }
+
+TEST_CASE_METHOD(SchedulerWaitingCountTest, "Scheduler_startCertainlyDidNotHappen_jobCountsAtOnce",
+                 "[scheduling]")
+{
+    // Guards against counts that lack, for a second, all jobs whose starts were just withheld.
+    const auto result = GENERATE(CallResult::Withheld, CallResult::NotSent, CallResult::NoCapacity,
+                                 CallResult::Unhealthy);
+    scheduler.onStartResult(starts.front(), result, now);
+    CHECK(waiting() == 1);
+}
