--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -208,7 +208,7 @@
     static bool isIsolated(const TrackedTask &task, Instant now);
     static bool mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated);
     static bool areCrashesRecorded(const TrackedJob &job, const TrackedTask &task);
-    void clearCrashes(const WorkerRun &run, Instant now);
+    void clearCrashes(WorkerRun &run, Instant now);
 
     // The stages of tick().
     void openOccurrences(std::int64_t wallClockMs);
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -106,11 +106,16 @@
     return task.crashes < kCrashesBeforeIsolation || job.isRecorded;
 }
 
-/// A long-running task that is ready has not crashed this worker when it started.
-void Scheduler::clearCrashes(const WorkerRun &run, Instant now)
+/// A long-running task that is ready has not crashed this worker when it started, so tasks of other
+/// jobs may start beside it.
+void Scheduler::clearCrashes(WorkerRun &run, Instant now)
 {
+    if (!run.isLongRunning || mayCrashWorker(run))
+        return;
+    m_needsPlacement = m_needsPlacement || run.isIsolated;
+    run.isIsolated = false;
     TrackedTask *task = findTask(run.task);
-    if (!run.isLongRunning || mayCrashWorker(run) || !task || task->crashes == 0)
+    if (!task || task->crashes == 0)
         return;
     task->crashes = 0;
     markLazilyDirty(m_jobs.at(run.task.job), now);
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -272,3 +272,65 @@
     }
     CHECK(scheduler.jobs().at(JobId{1}).state == JobState::Running);
 }
+
+namespace {
+
+/// Two workers that also run a task of job 9 each if `isBusy`, and the job 1, under whose first
+/// task workers have crashed.
+class SchedulerCrashTest : public SchedulerTest
+{
+protected:
+    static constexpr Millis kRankingTime{10}; // until steps are ranked again
+
+    SchedulerCrashTest() { syncAllWorkers(); }
+
+    void occupyWorkers()
+    {
+        StepSpec step = makeStep(2, Millis(60000));
+        step.maxPerWorker = 1;
+        submit(makeJob(9, "pool", {step}));
+        const std::vector<StartCommand> starts = tick<StartCommand>();
+        REQUIRE(starts.size() == 2);
+        confirm(starts);
+        advance(kRankingTime);
+    }
+
+    void submitAfterCrashes(JobSpec job, int crashes)
+    {
+        const JobId id = job.id;
+        scheduler.addJob(std::move(job),
+                         {.id = id, .isReleased = true, .tasks = {{.crashes = crashes}}}, false,
+                         now);
+    }
+
+    /// The same for a job that this owner has taken over, long after it was accepted.
+    void inheritAfterCrashes(JobSpec job, int crashes)
+    {
+        const JobId id = job.id;
+        scheduler.addJob(std::move(job),
+                         {.id = id, .isReleased = true, .tasks = {{.crashes = crashes}}}, true,
+                         now - Millis(30000));
+    }
+
+    JobState stateOf(std::uint64_t id) const { return scheduler.jobs().at(JobId{id}).state; }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SchedulerCrashTest,
+                 "Scheduler_isolatedLongRunningTaskIsReady_otherJobsStartOnItsWorker",
+                 "[scheduling]")
+{
+    // Guards against workers that one service keeps from all other jobs until it ends.
+    scheduler.setWorkers({makeWorker("w1", "pool", 8000)}, now);
+    submitAfterCrashes(longRunningJob(1, 1, 0), 2);
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    confirm(starts);
+    submit(makeJob(2, "pool", {makeStep(1, Millis(500))}));
+    advance(kRankingTime);
+    CHECK(tick<StartCommand>().empty());
+    advance(kRankingTime);
+    reportReady(starts);
+    CHECK(tick<StartCommand>().size() == 1);
+}
