--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -205,6 +205,7 @@
     static bool isEndExpected(const WorkerState &worker, Instant now);
     void onWorkerCrashed(const WorkerState &worker, Instant now);
     void addCrash(const TaskId &id, bool isOnlyJob, WorkerId worker, Instant now);
+    static bool isSuspected(const TrackedTask &task);
     static bool isIsolated(const TrackedTask &task, Instant now);
     static bool mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated);
     static bool areCrashesRecorded(const TrackedJob &job, const TrackedTask &task);
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -87,10 +87,16 @@
     finish(job, JobState::Failed, now);
 }
 
+/// Returns whether so many workers crashed under the task that it must run apart from other jobs.
+bool Scheduler::isSuspected(const TrackedTask &task)
+{
+    return task.crashes >= kCrashesBeforeIsolation;
+}
+
 /// Returns whether the task starts only on workers without tasks of other jobs.
 bool Scheduler::isIsolated(const TrackedTask &task, Instant now)
 {
-    return task.crashes >= kCrashesBeforeIsolation && now - task.waitingSince < kMaxIsolationWait;
+    return isSuspected(task) && now - task.waitingSince < kMaxIsolationWait;
 }
 
 /// Returns whether a task of the job may run beside `other`.
@@ -103,7 +109,7 @@
 /// on it.
 bool Scheduler::areCrashesRecorded(const TrackedJob &job, const TrackedTask &task)
 {
-    return task.crashes < kCrashesBeforeIsolation || job.isRecorded;
+    return !isSuspected(task) || job.isRecorded;
 }
 
 /// A long-running task that is ready has not crashed this worker when it started, so tasks of other
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -124,6 +124,7 @@
         TrackedStep *step = findStep(reported.task);
         ++step->placedTasks;
         step->lastGangRun = std::max(step->lastGangRun, reported.run);
+        run.isIsolated = isSuspected(*task) && mayCrashWorker(run);
         if (job->second.state == JobState::Queued)
             job->second.state = JobState::Running;
     } else if (task && spec && job != m_jobs.end() && !task->hasEnded(reported.run)
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -334,3 +334,14 @@
     reportReady(starts);
     CHECK(tick<StartCommand>().size() == 1);
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_ownerChangesDuringAnIsolatedRun_runStaysIsolated",
+                 "[scheduling]")
+{
+    // Guards against successors who start other jobs' tasks beside a task that crashes workers.
+    scheduler.setWorkers({makeWorker("w1", "pool", 8000)}, now);
+    inheritAfterCrashes(makeJob(1, "pool", {makeStep(1, Millis(500))}), 2);
+    answerPoll({.worker = w1}, {{.task = {.job = JobId{1}}, .run = 5}});
+    submit(makeJob(2, "pool", {makeStep(1, Millis(500))}));
+    CHECK(tick<StartCommand>().empty());
+}
