--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -207,6 +207,7 @@
     void addCrash(const TaskId &id, bool isOnlyJob, WorkerId worker, Instant now);
     static bool isSuspected(const TrackedTask &task);
     static bool isIsolated(const TrackedTask &task, Instant now);
+    static void beginIsolation(TrackedTask &task, Instant now);
     static bool mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated);
     static bool areCrashesRecorded(const TrackedJob &job, const TrackedTask &task);
     void clearCrashes(WorkerRun &run, Instant now);
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -33,7 +33,9 @@
     WorkerId copyWorker; ///< Of the other run.
     std::vector<WorkerId> failedOn; ///< Workers where a run failed or stalled.
     std::string checkpoint;
-    Instant waitingSince;
+    /// When a worker for it was first looked for since its last run, if it must run apart from
+    /// other jobs; the epoch before.
+    Instant isolationBegin;
 
     bool hasEnded(std::int64_t run) const
     {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -146,7 +146,6 @@
         trackedStep.tasks.resize(static_cast<std::size_t>(step.count));
         for (TrackedTask &task : trackedStep.tasks) {
             task.mayRunOnUnsyncedWorker = job.isInherited && job.isReleased;
-            task.waitingSince = job.accepted;
         }
         occurrence.steps.push_back(std::move(trackedStep));
     }
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -96,7 +96,15 @@
 /// Returns whether the task starts only on workers without tasks of other jobs.
 bool Scheduler::isIsolated(const TrackedTask &task, Instant now)
 {
-    return isSuspected(task) && now - task.waitingSince < kMaxIsolationWait;
+    return isSuspected(task)
+        && (task.isolationBegin == Instant{} || now - task.isolationBegin < kMaxIsolationWait);
+}
+
+/// Limits how long the task, which could start now, waits for a worker of its own.
+void Scheduler::beginIsolation(TrackedTask &task, Instant now)
+{
+    if (isSuspected(task) && task.isolationBegin == Instant{})
+        task.isolationBegin = now;
 }
 
 /// Returns whether a task of the job may run beside `other`.
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -41,7 +41,7 @@
         return;
     task->isPlaced = false;
     task->worker = {};
-    task->waitingSince = now;
+    task->isolationBegin = {};
     if (task->mayRunOnUnsyncedWorker)
         m_nextPossibleCount = {}; // an earlier owner may have started it again
     --findStep(run.task)->placedTasks;
--- a/src/scheduling/schedulerincarnations.cpp
+++ b/src/scheduling/schedulerincarnations.cpp
@@ -59,7 +59,7 @@
             // Its start or stop may have reached either process; the next status shows it.
             run.isStopConfirmed = false;
             run.nextSend = now;
-            if (const TrackedTask *task = findTask(run.task); task && isIsolated(*task, now))
+            if (const TrackedTask *task = findTask(run.task); task && isSuspected(*task))
                 requestStop(run, now); // it must not start beside other jobs
             ++index;
             continue;
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -360,6 +360,7 @@
 {
     TrackedTask &task = occurrence.steps[static_cast<std::size_t>(step)]
                             .tasks[static_cast<std::size_t>(index)];
+    beginIsolation(task, now);
     WorkerState *worker = chooseWorker(job, occurrence, step, task, now);
     if (!worker)
         return false;
@@ -386,6 +387,8 @@
         checkpoint = std::max(checkpoint, task.checkpoint);
     }
     next = nextRunNumber(next);
+    for (TrackedTask &task : trackedStep.tasks)
+        beginIsolation(task, now);
     // Places the tasks one by one; if one does not fit, all placements are undone.
     const std::vector<TrackedTask> before = trackedStep.tasks;
     std::vector<SchedulerAction> starts;
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -345,3 +345,16 @@
     submit(makeJob(2, "pool", {makeStep(1, Millis(500))}));
     CHECK(tick<StartCommand>().empty());
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest,
+                 "Scheduler_ownerChangesLongAfterTheJobCame_taskWithCrashesStillWaitsToBeIsolated",
+                 "[scheduling]")
+{
+    // Guards against successors who let a task crash the workers of other jobs again.
+    occupyWorkers();
+    inheritAfterCrashes(makeJob(1, "pool", {makeStep(1, Millis(500))}), 2);
+    CHECK(tick<StartCommand>().empty());
+    advance(Millis(2100));
+    reportReady({});
+    CHECK(tick<StartCommand>().size() == 1);
+}
