--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -320,8 +320,11 @@
         if (!pool.ranked.isCurrentFirst())
             return true;
         const Resources before = reserved();
-        if (!placeTask(job, occurrence, candidate.step, index, now, out))
-            return false;
+        if (!placeTask(job, occurrence, candidate.step, index, now, out)) {
+            if (!isIsolated(step.tasks[static_cast<std::size_t>(index)], now))
+                return false;
+            continue; // other tasks of the step need no worker of their own
+        }
         pool.ranked.addRunning(reserved() - before);
     }
     return false;
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -358,3 +358,11 @@
     reportReady({});
     CHECK(tick<StartCommand>().size() == 1);
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_taskWaitsToBeIsolated_othersOfItsStepStart",
+                 "[scheduling]")
+{
+    occupyWorkers();
+    submitAfterCrashes(makeJob(1, "pool", {makeStep(3, Millis(500))}), 2);
+    CHECK(tick<StartCommand>().size() == 2);
+}
