--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -204,7 +204,7 @@
     static bool mayCrashWorker(const WorkerRun &run);
     static bool isEndExpected(const WorkerState &worker, Instant now);
     void onWorkerCrashed(const WorkerState &worker, Instant now);
-    void addCrash(const TaskId &id, bool isOnlyJob, WorkerId worker, Instant now);
+    void addCrash(const TaskId &id, bool isOnlyJob, const WorkerState &worker, Instant now);
     static bool isSuspected(const TrackedTask &task);
     static bool isIsolated(const TrackedTask &task, Instant now);
     static void beginIsolation(TrackedTask &task, Instant now);
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -23,6 +23,8 @@
     bool mayRunOnUnsyncedWorker = false;
     int failures = 0;
     int crashes = 0; ///< Workers that crashed while a run of it was on them.
+    WorkerId lastCrashWorker; ///< The latest of these; empty if an earlier owner counted it.
+    HostId lastCrashHost; ///< Its host, if it is known.
     std::int64_t currentRun = 0; ///< The number of the current run, if the task is placed.
     std::int64_t copyRun = 0; ///< The number of the other run at the same time; 0 if there is none.
     std::int64_t lastRun = 0; ///< The highest run number assigned or reported.
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -61,12 +61,13 @@
                   {"tasks", tasks}},
                  true});
     for (const TaskId &id : suspects)
-        addCrash(id, jobs.size() == 1, worker.info.id, now);
+        addCrash(id, jobs.size() == 1, worker, now);
 }
 
 /// Counts a crash of `worker` against one of its tasks. `isOnlyJob` tells that no other job's task
-/// may have caused it.
-void Scheduler::addCrash(const TaskId &id, bool isOnlyJob, WorkerId worker, Instant now)
+/// may have caused it. Crashes of one host may be due to the host, so only the next one elsewhere
+/// shows that the task is their cause.
+void Scheduler::addCrash(const TaskId &id, bool isOnlyJob, const WorkerState &worker, Instant now)
 {
     TrackedTask *task = findTask(id);
     if (!task || task->isDone)
@@ -74,15 +75,20 @@
     TrackedJob &job = m_jobs.at(id.job);
     if (isFinal(job.state))
         return;
+    const bool isSameHost = worker.info.id == task->lastCrashWorker
+        || (!worker.host.empty() && worker.host == task->lastCrashHost);
+    task->lastCrashWorker = worker.info.id;
+    task->lastCrashHost = worker.host;
     ++task->crashes;
     markDirty(job);
-    if (task->crashes < (isOnlyJob ? kCrashesBeforeIsolation : kMaxCrashes))
+    const bool isCause = isOnlyJob && !isSameHost;
+    if (task->crashes < (isCause ? kCrashesBeforeIsolation : kMaxCrashes))
         return;
     logDecision({"job_given_up",
                  {{"job", textOf(id.job)},
                   {"task", textOf(id)},
                   {"crashes", std::to_string(task->crashes)},
-                  {"worker", worker.name()}},
+                  {"worker", worker.info.id.name()}},
                  true});
     finish(job, JobState::Failed, now);
 }
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -366,3 +366,20 @@
     submitAfterCrashes(makeJob(1, "pool", {makeStep(3, Millis(500))}), 2);
     CHECK(tick<StartCommand>().size() == 2);
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_oneHostCrashesTwice_soundJobIsNotGivenUp",
+                 "[scheduling]")
+{
+    // Guards against jobs that are given up because of a faulty host.
+    submit(makeJob(1, "pool", {makeStep(1, Millis(60000))}));
+    for (int round = 0; round < 2; ++round) {
+        const WorkerInfo worker = makeWorker("n" + std::to_string(round), "pool", 8000);
+        scheduler.setWorkers({worker}, now);
+        scheduler.updateHosts({makeHost("h1", worker.id)}, now, now);
+        syncAllWorkers();
+        confirm(tick<StartCommand>());
+        advance(Millis(10));
+        scheduler.updateHosts({makeHost("h1", WorkerId())}, now, now);
+    }
+    CHECK(stateOf(1) == JobState::Running);
+}
