--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -48,8 +48,10 @@
     for (const WorkerRun &run : worker.runs) {
         if (!mayCrashWorker(run))
             continue;
-        suspects.push_back(run.task);
         jobs.insert(run.task.job);
+        // A run that is left of an earlier incarnation has counted, and was not sent again since.
+        if (worker.isSynced || run.isReported)
+            suspects.push_back(run.task);
     }
     std::string tasks;
     for (std::size_t index = 0; index < std::min(suspects.size(), kMaxTasksPerLine); ++index)
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -383,3 +383,23 @@
     }
     CHECK(stateOf(1) == JobState::Running);
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_workerRestartsAgainBeforeItAnswers_isOneCrash",
+                 "[scheduling]")
+{
+    // Guards against jobs that are given up for restarts of a worker on which they never ran.
+    WorkerInfo worker = makeWorker("w1", "pool", 8000);
+    const auto restart = [&] {
+        ++worker.started.value;
+        advance(Millis(10));
+        scheduler.setWorkers({worker}, now);
+    };
+    restart();
+    submit(makeJob(1, "pool", {makeStep(1, Millis(500))}));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    scheduler.onStartResult(starts.front(), CallResult::Unknown, now);
+    for (int restarts = 0; restarts < 5; ++restarts)
+        restart();
+    CHECK(stateOf(1) == JobState::Running);
+}
