--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -25,6 +25,7 @@
     int crashes = 0; ///< Workers that crashed while a run of it was on them.
     WorkerId lastCrashWorker; ///< The latest of these; empty if an earlier owner counted it.
     HostId lastCrashHost; ///< Its host, if it is known.
+    std::int64_t lastCrash = 0; ///< TrackedJob::crashes at the latest; 0 if none by this owner.
     std::int64_t currentRun = 0; ///< The number of the current run, if the task is placed.
     std::int64_t copyRun = 0; ///< The number of the other run at the same time; 0 if there is none.
     std::int64_t lastRun = 0; ///< The highest run number assigned or reported.
@@ -91,6 +92,9 @@
     bool isLazilyDirty = false; ///< Its progress may wait up to SchedulerSettings::maxRecordDelay.
     Instant lazilyDirtySince;
     bool isRecorded = true; ///< The latest progress is durable.
+    std::int64_t crashes = 0; ///< Crashes under its tasks that this owner has counted.
+    std::int64_t crashesInBatch = 0; ///< The same as of the write in flight.
+    std::int64_t recordedCrashes = 0; ///< The same as of the latest durable write.
 
     bool isLongRunning() const { return !spec.steps.empty() && spec.steps.front().isLongRunning; }
 };
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -82,6 +82,7 @@
     task->lastCrashWorker = worker.info.id;
     task->lastCrashHost = worker.host;
     ++task->crashes;
+    task->lastCrash = ++job.crashes;
     markDirty(job);
     const bool isCause = isOnlyJob && !isSameHost;
     if (task->crashes < (isCause ? kCrashesBeforeIsolation : kMaxCrashes))
@@ -125,7 +126,7 @@
 /// on it.
 bool Scheduler::areCrashesRecorded(const TrackedJob &job, const TrackedTask &task)
 {
-    return !isSuspected(task) || job.isRecorded;
+    return !isSuspected(task) || task.lastCrash <= job.recordedCrashes;
 }
 
 /// A long-running task that is ready has not crashed this worker when it started, so tasks of other
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -321,6 +321,7 @@
         // A release that was decided while the write was in flight is not part of it.
         found->second.isReleaseRecorded = found->second.isReleaseRecorded
             || found->second.isReleaseInBatch;
+        found->second.recordedCrashes = found->second.crashesInBatch;
         if (!found->second.isDirty)
             found->second.isRecorded = true;
         m_needsPlacement = true;
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -195,6 +195,7 @@
         job.isDirty = false;
         job.isLazilyDirty = false;
         job.isReleaseInBatch = job.isReleased;
+        job.crashesInBatch = job.crashes;
         write.updates.push_back(progressOf(job));
         m_batchJobs.push_back(id);
     }
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -403,3 +403,41 @@
         restart();
     CHECK(stateOf(1) == JobState::Running);
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest,
+                 "Scheduler_otherTasksOfTheJobEndAllTheTime_taskWithRecordedCrashesStarts",
+                 "[scheduling]")
+{
+    // Guards against a task that waits until all others of a large job have ended.
+    occupyWorkers();
+    StepSpec step = makeStep(2, Millis(60000));
+    step.maxPerWorker = 1;
+    submitAfterCrashes(makeJob(1, "pool", {step}), 1);
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 2);
+    confirm(starts);
+    const StartCommand &crashing = starts.front().task.index == 0 ? starts.front() : starts.back();
+    const StartCommand &sound = starts.front().task.index == 0 ? starts.back() : starts.front();
+    advance(Millis(400));
+    scheduler.setWorkers({makeWorker("w1", "pool", 8000), makeWorker("w2", "pool", 8000),
+                          makeWorker("w3", "pool", 8000)},
+                         now);
+    answerPoll({.worker = WorkerId("w3")});
+    for (const ProgressWrite &write : std::exchange(writes, {}))
+        scheduler.onProgressWritten(write.batch, true, now);
+    advance(Millis(10));
+    const auto hostOf = [&](WorkerId worker) {
+        return makeHost(worker == w1 ? "h1" : "h2",
+                        worker == crashing.worker ? WorkerId() : worker);
+    };
+    scheduler.updateHosts({hostOf(w1), hostOf(w2)}, now, now);
+    advance(Millis(60));
+    tick<StartCommand>();
+    REQUIRE(writes.size() == 1);
+    answerPoll({.worker = sound.worker}, {},
+               {{.sequence = 1, .task = sound.task, .run = sound.run}});
+    scheduler.onProgressWritten(writes.front().batch, true, now);
+    const std::vector<StartCommand> again = tick<StartCommand>();
+    CHECK(std::any_of(again.begin(), again.end(),
+                      [&](const StartCommand &start) { return start.task == crashing.task; }));
+}
