--- a/include/oleanderhall/scheduling/ticketcache.h
+++ b/include/oleanderhall/scheduling/ticketcache.h
@@ -28,16 +28,20 @@
 
     /// Returns the ticket of `worker` for `step`, or an empty string if none is valid at `now`.
     std::string find(const StepKey &step, WorkerId worker, Instant now) const;
-    /// Returns whether a request for `step` is in flight.
-    bool isRequestPending(const StepKey &step) const { return m_pendingRequests.contains(step); }
-    void addPendingRequest(const StepKey &step) { m_pendingRequests.insert(step); }
+    /// Returns whether a request for `step` may be sent: none is in flight, and the last one was
+    /// answered or has failed some time ago.
+    bool mayRequest(const StepKey &step, Instant now) const;
+    void addPendingRequest(const StepKey &step) { m_nextRequests[step] = Instant::max(); }
     /// Returns whether the policy service has denied `step` to `worker`.
     bool isDenied(const StepKey &step, WorkerId worker) const;
     /// Ends the pending request for `step`. Workers of `requested` without a ticket count as
-    /// denied; if `isAnswered` is false, tickets and denials stay as they are.
-    void handleAnswer(const StepKey &step, const std::vector<WorkerId> &requested, bool isAnswered,
+    /// denied.
+    void handleAnswer(const StepKey &step, const std::vector<WorkerId> &requested,
                       const std::vector<std::pair<WorkerId, std::string>> &tickets,
                       Instant validUntil);
+    /// Ends the pending request for `step`, which was not answered. The next one may be sent at
+    /// `retryAt`. Tickets and denials stay as they are.
+    void handleFailure(const StepKey &step, Instant retryAt) { m_nextRequests[step] = retryAt; }
     /// Removes a ticket that the worker rejected.
     void removeTicket(const StepKey &step, WorkerId worker);
     /// Removes all entries of a job.
@@ -51,7 +55,8 @@
     };
     std::map<std::pair<StepKey, WorkerId>, Ticket> m_tickets;
     std::set<std::pair<StepKey, WorkerId>> m_denied;
-    std::set<StepKey> m_pendingRequests;
+    /// When the next request may be sent, for steps with a request that is in flight or failed.
+    std::map<StepKey, Instant> m_nextRequests;
 };
 
 } // namespace oleanderhall
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -9,6 +9,8 @@
 
 constexpr Millis kCapacityRetryDelay{300}; // if free capacity is less than assumed, or NotSent
 constexpr int kMaxAvoidDoublings = 4;
+// A service that refuses connections fails each request at once.
+constexpr Millis kAdviceRetryDelay{250};
 
 } // namespace
 
@@ -292,8 +294,13 @@
     Millis lifetime{0};
     if (job != m_jobs.end() && job->second.spec.queue.advice)
         lifetime = job->second.spec.queue.advice->ticketLifetime;
-    m_tickets.handleAnswer({request.job, request.occurrence, request.step}, request.workers,
-                           isAnswered, tickets, now + lifetime);
+    const TicketCache::StepKey step{request.job, request.occurrence, request.step};
+    if (!isAnswered) {
+        if (m_active.contains(request.job))
+            m_tickets.handleFailure(step, now + kAdviceRetryDelay);
+        return;
+    }
+    m_tickets.handleAnswer(step, request.workers, tickets, now + lifetime);
     m_needsPlacement = true;
 }
 
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -337,7 +337,7 @@
     const TrackedJob &job = m_jobs.at(candidate.job);
     const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(candidate.occurrence)];
     const TicketCache::StepKey key{job.spec.id, occurrence.number, candidate.step};
-    if (m_tickets.isRequestPending(key))
+    if (!m_tickets.mayRequest(key, now))
         return;
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(candidate.step)];
     AdviceRequest request{.job = key.job, .occurrence = key.occurrence, .step = key.step};
--- a/tests/scheduling/schedulerplacement_test.cpp
+++ b/tests/scheduling/schedulerplacement_test.cpp
@@ -92,6 +92,25 @@
     CHECK(starts == 3);
 }
 
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_policyServiceDoesNotAnswer_isAskedAFewTimesASecond",
+                 "[scheduler]")
+{
+    // Guards against an owner that is busy with requests to a service that refuses connections.
+    syncAllWorkers();
+    JobSpec job = makeJob(1, "pool", {makeStep(3, Millis(100))});
+    job.queue.advice = AdviceConfig{.ticketLifetime = Millis(3000)};
+    submit(job);
+    int requests = 0;
+    for (const Instant end = now + Millis(1000); now < end; advance(Millis(5))) {
+        for (const AdviceRequest &request : tick<AdviceRequest>()) {
+            ++requests;
+            scheduler.onAdviceResult(request, false, {}, now);
+        }
+    }
+    CHECK(requests >= 3);
+    CHECK(requests <= 10);
+}
+
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_jobNotReleased_startsOnceThatIsRecorded", "[scheduler]")
 {
     syncAllWorkers();
