--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -263,7 +263,7 @@
     void startRun(WorkerState &worker, TrackedJob &job, const TaskId &id, std::int64_t number,
                   Instant now, std::vector<SchedulerAction> &out);
     void noteStarted(TrackedJob &job, Instant now);
-    void noteBegun(const TaskId &task);
+    void noteBegun(const TaskId &task, Instant now);
     void noteNotStarted(const TaskId &task);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -96,7 +96,7 @@
     // while.
     job.isInherited = isInherited || accepted - m_termStart < m_settings.takeoverOverlap;
     job.inheritedProgress = progress.tasks;
-    job.hasBegun = !progress.tasks.empty();
+    job.hasBegun = progress.state == JobState::Running || !progress.tasks.empty();
     job.isReleased = progress.isReleased;
     job.isReleaseRecorded = progress.isReleased;
     const auto queue = m_queues.find(job.spec.queue.name);
@@ -371,6 +371,8 @@
                          .team = job.spec.team,
                          .acceptedMs = job.spec.acceptedMs,
                          .isReleased = job.isReleased};
+    if (job.state == JobState::Running && !job.hasBegun)
+        progress.state = JobState::Queued; // callers are told so
     if (isFinal(job.state)) {
         if (!job.spec.team.empty())
             progress.stillRunning = heldBy(job);
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -159,7 +159,7 @@
     case CallResult::Ok:
         if (!isForEarlierIncarnation(worker, command.started))
             worker.clock.recordConfirmed(command.leaseExpiry);
-        noteBegun(command.task);
+        noteBegun(command.task, now);
         if (run->phase == WorkerRun::Phase::Starting) {
             run->phase = WorkerRun::Phase::Running;
             run->runningSince = now;
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -551,10 +551,14 @@
 }
 
 /// Records that a worker has confirmed a run of the task.
-void Scheduler::noteBegun(const TaskId &task)
+void Scheduler::noteBegun(const TaskId &task, Instant now)
 {
-    if (const auto job = m_jobs.find(task.job); job != m_jobs.end())
-        job->second.hasBegun = true;
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || job->second.hasBegun)
+        return;
+    job->second.hasBegun = true;
+    if (!isFinal(job->second.state))
+        markLazilyDirty(job->second, now);
 }
 
 /// Records that the start of the task was certainly not carried out.
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -71,7 +71,7 @@
 
 void Scheduler::handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now)
 {
-    noteBegun(reported.task);
+    noteBegun(reported.task, now);
     if (WorkerRun *known = findRun(worker, reported.task, reported.run)) {
         if (known->phase == WorkerRun::Phase::Starting) {
             known->phase = WorkerRun::Phase::Running;
@@ -146,7 +146,7 @@
     if (ended.sequence <= worker.lastHandledEnd)
         return;
     worker.lastHandledEnd = ended.sequence;
-    noteBegun(ended.task);
+    noteBegun(ended.task, now);
     WorkerRun known;
     if (const WorkerRun *run = findRun(worker, ended.task, ended.run)) {
         known = *run;
--- a/tests/scheduling/schedulerwaitingcount_test.cpp
+++ b/tests/scheduling/schedulerwaitingcount_test.cpp
@@ -77,3 +77,19 @@
     scheduler.onStartResult(starts.front(), result, now);
     CHECK(waiting() == 1);
 }
+
+TEST_CASE_METHOD(SchedulerWaitingCountTest,
+                 "Scheduler_noWorkerHasConfirmedAStart_jobIsRecordedAsQueued", "[scheduling]")
+{
+    // Guards against callers who are told that a job runs, while no worker has begun it.
+    advance(Millis(500));
+    tick<StartCommand>();
+    REQUIRE(writes.size() == 1);
+    CHECK(writes.back().updates.at(0).state == JobState::Queued);
+    scheduler.onProgressWritten(writes.back().batch, true, now);
+    confirm(starts);
+    advance(Millis(500));
+    tick<StartCommand>();
+    REQUIRE(writes.size() == 2);
+    CHECK(writes.back().updates.at(0).state == JobState::Running);
+}
