--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -205,8 +205,10 @@
     static bool mayCrashWorker(const WorkerRun &run);
     static bool isEndExpected(const WorkerState &worker, Instant now);
     void onWorkerCrashed(const WorkerState &worker, Instant now);
-    void addCrash(const TaskId &id, bool isOnlyJob, WorkerId worker, Instant now);
+    void addCrash(const TaskId &id, bool isOnlyJob, const WorkerState &worker, Instant now);
+    static bool isSuspected(const TrackedTask &task);
     static bool isIsolated(const TrackedTask &task, Instant now);
+    static void beginIsolation(TrackedTask &task, Instant now);
     static bool mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated);
     static bool areCrashesRecorded(const TrackedJob &job, const TrackedTask &task);
     void clearCrashes(WorkerRun &run, Instant now);
@@ -264,7 +266,8 @@
     void startRun(WorkerState &worker, TrackedJob &job, const TaskId &id, std::int64_t number,
                   Instant now, std::vector<SchedulerAction> &out);
     void noteStarted(TrackedJob &job, Instant now);
-    void noteBegun(const TaskId &task);
+    void noteBegun(const TaskId &task, Instant now);
+    void noteNotStarted(const TaskId &task);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
     bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now) const;
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -23,6 +23,9 @@
     bool mayRunOnUnsyncedWorker = false;
     int failures = 0;
     int crashes = 0; ///< Workers that crashed while a run of it was on them.
+    WorkerId lastCrashWorker; ///< The latest of these; empty if an earlier owner counted it.
+    HostId lastCrashHost; ///< Its host, if it is known.
+    std::int64_t lastCrash = 0; ///< TrackedJob::crashes at the latest; 0 if none by this owner.
     std::int64_t currentRun = 0; ///< The number of the current run, if the task is placed.
     std::int64_t copyRun = 0; ///< The number of the other run at the same time; 0 if there is none.
     std::int64_t lastRun = 0; ///< The highest run number assigned or reported.
@@ -33,7 +36,9 @@
     WorkerId copyWorker; ///< Of the other run.
     std::vector<WorkerId> failedOn; ///< Workers where a run failed or stalled.
     std::string checkpoint;
-    Instant waitingSince;
+    /// When a worker for it was first looked for since its last run, if it must run apart from
+    /// other jobs; the epoch before.
+    Instant isolationBegin;
 
     bool hasEnded(std::int64_t run) const
     {
@@ -76,7 +81,9 @@
     bool isOverRate = false; ///< Its team sent it beyond its rate.
     bool hasBegun = false; ///< A worker has confirmed that a task of it runs or has ended.
     Instant accepted;
-    Instant firstStart; ///< When a start of a task was first sent; the epoch if by another owner.
+    /// When a start of a task was first sent; the epoch if by another owner, or if no task of the
+    /// job that has not begun is on a worker any more.
+    Instant firstStart;
     Instant ended;
     std::vector<Occurrence> occurrences;
     std::vector<TaskProgress> inheritedProgress; ///< As recorded by earlier owners.
@@ -85,6 +92,9 @@
     bool isLazilyDirty = false; ///< Its progress may wait up to SchedulerSettings::maxRecordDelay.
     Instant lazilyDirtySince;
     bool isRecorded = true; ///< The latest progress is durable.
+    std::int64_t crashes = 0; ///< Crashes under its tasks that this owner has counted.
+    std::int64_t crashesInBatch = 0; ///< The same as of the write in flight.
+    std::int64_t recordedCrashes = 0; ///< The same as of the latest durable write.
 
     bool isLongRunning() const { return !spec.steps.empty() && spec.steps.front().isLongRunning; }
 };
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -49,8 +49,10 @@
     for (const WorkerRun &run : worker.runs) {
         if (!mayCrashWorker(run))
             continue;
-        suspects.push_back(run.task);
         jobs.insert(run.task.job);
+        // A run that is left of an earlier incarnation has counted, and was not sent again since.
+        if (worker.isSynced || run.isReported)
+            suspects.push_back(run.task);
     }
     std::string tasks;
     for (std::size_t index = 0; index < std::min(suspects.size(), kMaxTasksPerLine); ++index)
@@ -62,12 +64,13 @@
                   {"tasks", tasks}},
                  true});
     for (const TaskId &id : suspects)
-        addCrash(id, jobs.size() == 1, worker.info.id, now);
+        addCrash(id, jobs.size() == 1, worker, now);
 }
 
 /// Counts a crash of `worker` against one of its tasks. `isOnlyJob` tells that no other job's task
-/// may have caused it.
-void Scheduler::addCrash(const TaskId &id, bool isOnlyJob, WorkerId worker, Instant now)
+/// may have caused it. Crashes of one host may be due to the host, so only the next one elsewhere
+/// shows that the task is their cause.
+void Scheduler::addCrash(const TaskId &id, bool isOnlyJob, const WorkerState &worker, Instant now)
 {
     TrackedTask *task = findTask(id);
     if (!task || task->isDone)
@@ -75,25 +78,45 @@
     TrackedJob &job = m_jobs.at(id.job);
     if (isFinal(job.state))
         return;
+    const bool isSameHost = worker.info.id == task->lastCrashWorker
+        || (!worker.host.empty() && worker.host == task->lastCrashHost);
+    task->lastCrashWorker = worker.info.id;
+    task->lastCrashHost = worker.host;
     ++task->crashes;
-    if (task->crashes >= kCrashesBeforeIsolation)
+    if (isSuspected(*task))
         m_suspectTasks.insert(id);
+    task->lastCrash = ++job.crashes;
     markDirty(job);
-    if (task->crashes < (isOnlyJob ? kCrashesBeforeIsolation : kMaxCrashes))
+    const bool isCause = isOnlyJob && !isSameHost;
+    if (task->crashes < (isCause ? kCrashesBeforeIsolation : kMaxCrashes))
         return;
     logDecision({"job_given_up",
                  {{"job", textOf(id.job)},
                   {"task", textOf(id)},
                   {"crashes", std::to_string(task->crashes)},
-                  {"worker", worker.name()}},
+                  {"worker", worker.info.id.name()}},
                  true});
     finish(job, JobState::Failed, now);
 }
 
+/// Returns whether so many workers crashed under the task that it must run apart from other jobs.
+bool Scheduler::isSuspected(const TrackedTask &task)
+{
+    return task.crashes >= kCrashesBeforeIsolation;
+}
+
 /// Returns whether the task starts only on workers without tasks of other jobs.
 bool Scheduler::isIsolated(const TrackedTask &task, Instant now)
 {
-    return task.crashes >= kCrashesBeforeIsolation && now - task.waitingSince < kMaxIsolationWait;
+    return isSuspected(task)
+        && (task.isolationBegin == Instant{} || now - task.isolationBegin < kMaxIsolationWait);
+}
+
+/// Limits how long the task, which could start now, waits for a worker of its own.
+void Scheduler::beginIsolation(TrackedTask &task, Instant now)
+{
+    if (isSuspected(task) && task.isolationBegin == Instant{})
+        task.isolationBegin = now;
 }
 
 /// Returns the pool's jobs with a task that waits for a worker without other jobs.
@@ -101,8 +124,7 @@
 {
     std::erase_if(m_suspectTasks, [&](const TaskId &id) {
         const TrackedTask *task = findTask(id);
-        return !task || task->isDone || task->crashes < kCrashesBeforeIsolation
-            || isFinal(m_jobs.at(id.job).state);
+        return !task || task->isDone || !isSuspected(*task) || isFinal(m_jobs.at(id.job).state);
     });
     std::set<JobId> jobs;
     for (const TaskId &id : m_suspectTasks) {
@@ -157,7 +179,7 @@
 /// on it.
 bool Scheduler::areCrashesRecorded(const TrackedJob &job, const TrackedTask &task)
 {
-    return task.crashes < kCrashesBeforeIsolation || job.isRecorded;
+    return !isSuspected(task) || task.lastCrash <= job.recordedCrashes;
 }
 
 /// Ends the isolation of a long-running task that is ready: it hasn't crashed this worker when it
@@ -166,12 +188,12 @@
 {
     if (!run.isLongRunning || mayCrashWorker(run))
         return;
+    m_needsPlacement = m_needsPlacement || run.isIsolated;
     run.isIsolated = false;
     TrackedTask *task = findTask(run.task);
     if (!task || task->crashes == 0)
         return;
     task->crashes = 0;
-    m_needsPlacement = true;
     markLazilyDirty(m_jobs.at(run.task.job), now);
 }
 
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -9,6 +9,8 @@
 
 constexpr Millis kCapacityRetryDelay{300}; // if free capacity is less than assumed, or NotSent
 constexpr int kMaxAvoidDoublings = 4;
+// A service that refuses connections fails each request at once.
+constexpr Millis kAdviceRetryDelay{250};
 
 } // namespace
 
@@ -41,7 +43,7 @@
         return;
     task->isPlaced = false;
     task->worker = {};
-    task->waitingSince = now;
+    task->isolationBegin = {};
     if (task->mayRunOnUnsyncedWorker)
         m_nextPossibleCount = {}; // an earlier owner may have started it again
     --findStep(run.task)->placedTasks;
@@ -157,7 +159,7 @@
     case CallResult::Ok:
         if (!isForEarlierIncarnation(worker, command.started))
             worker.clock.recordConfirmed(command.leaseExpiry);
-        noteBegun(command.task);
+        noteBegun(command.task, now);
         if (run->phase == WorkerRun::Phase::Starting) {
             run->phase = WorkerRun::Phase::Running;
             run->runningSince = now;
@@ -209,6 +211,7 @@
     const WorkerRun ended = *run;
     removeRun(worker, static_cast<std::size_t>(run - worker.runs.data()));
     unplace(ended, now);
+    noteNotStarted(ended.task);
 }
 
 void Scheduler::onStopResult(const StopCommand &command, CallResult result, Instant now)
@@ -291,8 +294,13 @@
     Millis lifetime{0};
     if (job != m_jobs.end() && job->second.spec.queue.advice)
         lifetime = job->second.spec.queue.advice->ticketLifetime;
-    m_tickets.handleAnswer({request.job, request.occurrence, request.step}, request.workers,
-                           isAnswered, tickets, now + lifetime);
+    const TicketCache::StepKey step{request.job, request.occurrence, request.step};
+    if (!isAnswered) {
+        if (m_active.contains(request.job))
+            m_tickets.handleFailure(step, now + kAdviceRetryDelay);
+        return;
+    }
+    m_tickets.handleAnswer(step, request.workers, tickets, now + lifetime);
     m_needsPlacement = true;
 }
 
@@ -320,6 +328,7 @@
         // A release that was decided while the write was in flight is not part of it.
         found->second.isReleaseRecorded = found->second.isReleaseRecorded
             || found->second.isReleaseInBatch;
+        found->second.recordedCrashes = found->second.crashesInBatch;
         if (!found->second.isDirty)
             found->second.isRecorded = true;
         m_needsPlacement = true;
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -322,8 +322,11 @@
         if (!pool.ranked.isCurrentFirst())
             return true;
         const Resources before = reserved();
-        if (!placeTask(job, occurrence, candidate.step, index, now, out))
-            return false;
+        if (!placeTask(job, occurrence, candidate.step, index, now, out)) {
+            if (!isIsolated(step.tasks[static_cast<std::size_t>(index)], now))
+                return false;
+            continue; // other tasks of the step need no worker of their own
+        }
         pool.ranked.addRunning(reserved() - before);
     }
     return false;
@@ -336,7 +339,7 @@
     const TrackedJob &job = m_jobs.at(candidate.job);
     const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(candidate.occurrence)];
     const TicketCache::StepKey key{job.spec.id, occurrence.number, candidate.step};
-    if (m_tickets.isRequestPending(key))
+    if (!m_tickets.mayRequest(key, now))
         return;
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(candidate.step)];
     AdviceRequest request{.job = key.job, .occurrence = key.occurrence, .step = key.step};
@@ -362,6 +365,7 @@
 {
     TrackedTask &task = occurrence.steps[static_cast<std::size_t>(step)]
                             .tasks[static_cast<std::size_t>(index)];
+    beginIsolation(task, now);
     WorkerState *worker = chooseWorker(job, occurrence, step, task, now);
     if (!worker)
         return false;
@@ -388,6 +392,8 @@
         checkpoint = std::max(checkpoint, task.checkpoint);
     }
     next = nextRunNumber(next);
+    for (TrackedTask &task : trackedStep.tasks)
+        beginIsolation(task, now);
     // Places the tasks one by one; if one does not fit, all placements are undone.
     const std::vector<TrackedTask> before = trackedStep.tasks;
     std::vector<SchedulerAction> starts;
@@ -548,10 +554,29 @@
 }
 
 /// Records that a worker has confirmed a run of the task.
-void Scheduler::noteBegun(const TaskId &task)
+void Scheduler::noteBegun(const TaskId &task, Instant now)
 {
-    if (const auto job = m_jobs.find(task.job); job != m_jobs.end())
-        job->second.hasBegun = true;
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || job->second.hasBegun)
+        return;
+    job->second.hasBegun = true;
+    if (!isFinal(job->second.state))
+        markLazilyDirty(job->second, now);
+}
+
+/// Records that the start of the task was certainly not carried out.
+void Scheduler::noteNotStarted(const TaskId &task)
+{
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || job->second.hasBegun)
+        return;
+    for (const Occurrence &occurrence : job->second.occurrences) {
+        for (const TrackedStep &step : occurrence.steps) {
+            if (step.placedTasks > 0)
+                return;
+        }
+    }
+    job->second.firstStart = {};
 }
 
 StartCommand Scheduler::makeStartCommand(WorkerState &worker, const TrackedJob &job,
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -71,7 +71,7 @@
 
 void Scheduler::handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now)
 {
-    noteBegun(reported.task);
+    noteBegun(reported.task, now);
     if (WorkerRun *known = findRun(worker, reported.task, reported.run)) {
         if (known->phase == WorkerRun::Phase::Starting) {
             known->phase = WorkerRun::Phase::Running;
@@ -124,6 +124,7 @@
         TrackedStep *step = findStep(reported.task);
         ++step->placedTasks;
         step->lastGangRun = std::max(step->lastGangRun, reported.run);
+        run.isIsolated = isSuspected(*task) && mayCrashWorker(run);
         if (job->second.state == JobState::Queued)
             job->second.state = JobState::Running;
     } else if (task && spec && job != m_jobs.end() && !task->hasEnded(reported.run)
@@ -145,7 +146,7 @@
     if (ended.sequence <= worker.lastHandledEnd)
         return;
     worker.lastHandledEnd = ended.sequence;
-    noteBegun(ended.task);
+    noteBegun(ended.task, now);
     WorkerRun known;
     if (const WorkerRun *run = findRun(worker, ended.task, ended.run)) {
         known = *run;
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -315,3 +315,172 @@
     }
     CHECK(scheduler.jobs().at(JobId{1}).state == JobState::Running);
 }
+
+namespace {
+
+/// Two workers that also run a task of job 9 each if `isBusy`, and the job 1, under whose first
+/// task workers have crashed.
+class SchedulerCrashTest : public SchedulerTest
+{
+protected:
+    static constexpr Millis kRankingTime{10}; // until steps are ranked again
+
+    SchedulerCrashTest() { syncAllWorkers(); }
+
+    void occupyWorkers()
+    {
+        StepSpec step = makeStep(2, Millis(60000));
+        step.maxPerWorker = 1;
+        submit(makeJob(9, "pool", {step}));
+        const std::vector<StartCommand> starts = tick<StartCommand>();
+        REQUIRE(starts.size() == 2);
+        confirm(starts);
+        advance(kRankingTime);
+    }
+
+    void submitAfterCrashes(JobSpec job, int crashes)
+    {
+        const JobId id = job.id;
+        scheduler.addJob(std::move(job),
+                         {.id = id, .isReleased = true, .tasks = {{.crashes = crashes}}}, false,
+                         now);
+    }
+
+    /// The same for a job that this owner has taken over, long after it was accepted.
+    void inheritAfterCrashes(JobSpec job, int crashes)
+    {
+        const JobId id = job.id;
+        scheduler.addJob(std::move(job),
+                         {.id = id, .isReleased = true, .tasks = {{.crashes = crashes}}}, true,
+                         now - Millis(30000));
+    }
+
+    JobState stateOf(std::uint64_t id) const { return scheduler.jobs().at(JobId{id}).state; }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SchedulerCrashTest,
+                 "Scheduler_isolatedLongRunningTaskIsReady_otherJobsStartOnItsWorker",
+                 "[scheduling]")
+{
+    // Guards against workers that one service keeps from all other jobs until it ends.
+    scheduler.setWorkers({makeWorker("w1", "pool", 8000)}, now);
+    submitAfterCrashes(longRunningJob(1, 1, 0), 2);
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    confirm(starts);
+    submit(makeJob(2, "pool", {makeStep(1, Millis(500))}));
+    advance(kRankingTime);
+    CHECK(tick<StartCommand>().empty());
+    advance(kRankingTime);
+    reportReady(starts);
+    CHECK(tick<StartCommand>().size() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_ownerChangesDuringAnIsolatedRun_runStaysIsolated",
+                 "[scheduling]")
+{
+    // Guards against successors who start other jobs' tasks beside a task that crashes workers.
+    scheduler.setWorkers({makeWorker("w1", "pool", 8000)}, now);
+    inheritAfterCrashes(makeJob(1, "pool", {makeStep(1, Millis(500))}), 2);
+    answerPoll({.worker = w1}, {{.task = {.job = JobId{1}}, .run = 5}});
+    submit(makeJob(2, "pool", {makeStep(1, Millis(500))}));
+    CHECK(tick<StartCommand>().empty());
+}
+
+TEST_CASE_METHOD(SchedulerCrashTest,
+                 "Scheduler_ownerChangesLongAfterTheJobCame_taskWithCrashesStillWaitsToBeIsolated",
+                 "[scheduling]")
+{
+    // Guards against successors who let a task crash the workers of other jobs again.
+    occupyWorkers();
+    inheritAfterCrashes(makeJob(1, "pool", {makeStep(1, Millis(500))}), 2);
+    CHECK(tick<StartCommand>().empty());
+    advance(Millis(2100));
+    reportReady({});
+    CHECK(tick<StartCommand>().size() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_taskWaitsToBeIsolated_othersOfItsStepStart",
+                 "[scheduling]")
+{
+    occupyWorkers();
+    submitAfterCrashes(makeJob(1, "pool", {makeStep(3, Millis(500))}), 2);
+    CHECK(tick<StartCommand>().size() == 2);
+}
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_oneHostCrashesTwice_soundJobIsNotGivenUp",
+                 "[scheduling]")
+{
+    // Guards against jobs that are given up because of a faulty host.
+    submit(makeJob(1, "pool", {makeStep(1, Millis(60000))}));
+    for (int round = 0; round < 2; ++round) {
+        const WorkerInfo worker = makeWorker("n" + std::to_string(round), "pool", 8000);
+        scheduler.setWorkers({worker}, now);
+        scheduler.updateHosts({makeHost("h1", worker.id)}, now, now);
+        syncAllWorkers();
+        confirm(tick<StartCommand>());
+        advance(Millis(10));
+        scheduler.updateHosts({makeHost("h1", WorkerId())}, now, now);
+    }
+    CHECK(stateOf(1) == JobState::Running);
+}
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_workerRestartsAgainBeforeItAnswers_isOneCrash",
+                 "[scheduling]")
+{
+    // Guards against jobs that are given up for restarts of a worker on which they never ran.
+    WorkerInfo worker = makeWorker("w1", "pool", 8000);
+    const auto restart = [&] {
+        ++worker.started.value;
+        advance(Millis(10));
+        scheduler.setWorkers({worker}, now);
+    };
+    restart();
+    submit(makeJob(1, "pool", {makeStep(1, Millis(500))}));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    scheduler.onStartResult(starts.front(), CallResult::Unknown, now);
+    for (int restarts = 0; restarts < 5; ++restarts)
+        restart();
+    CHECK(stateOf(1) == JobState::Running);
+}
+
+TEST_CASE_METHOD(SchedulerCrashTest,
+                 "Scheduler_otherTasksOfTheJobEndAllTheTime_taskWithRecordedCrashesStarts",
+                 "[scheduling]")
+{
+    // Guards against a task that waits until all others of a large job have ended.
+    occupyWorkers();
+    StepSpec step = makeStep(2, Millis(60000));
+    step.maxPerWorker = 1;
+    submitAfterCrashes(makeJob(1, "pool", {step}), 1);
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 2);
+    confirm(starts);
+    const StartCommand &crashing = starts.front().task.index == 0 ? starts.front() : starts.back();
+    const StartCommand &sound = starts.front().task.index == 0 ? starts.back() : starts.front();
+    advance(Millis(400));
+    scheduler.setWorkers({makeWorker("w1", "pool", 8000), makeWorker("w2", "pool", 8000),
+                          makeWorker("w3", "pool", 8000)},
+                         now);
+    answerPoll({.worker = WorkerId("w3")});
+    for (const ProgressWrite &write : std::exchange(writes, {}))
+        scheduler.onProgressWritten(write.batch, true, now);
+    advance(Millis(10));
+    const auto hostOf = [&](WorkerId worker) {
+        return makeHost(worker == w1 ? "h1" : "h2",
+                        worker == crashing.worker ? WorkerId() : worker);
+    };
+    scheduler.updateHosts({hostOf(w1), hostOf(w2)}, now, now);
+    advance(Millis(60));
+    tick<StartCommand>();
+    REQUIRE(writes.size() == 1);
+    answerPoll({.worker = sound.worker}, {},
+               {{.sequence = 1, .task = sound.task, .run = sound.run}});
+    scheduler.onProgressWritten(writes.front().batch, true, now);
+    const std::vector<StartCommand> again = tick<StartCommand>();
+    CHECK(std::any_of(again.begin(), again.end(),
+                      [&](const StartCommand &start) { return start.task == crashing.task; }));
+}
--- a/tests/scheduling/schedulerwaitingcount_test.cpp
+++ b/tests/scheduling/schedulerwaitingcount_test.cpp
@@ -67,3 +67,29 @@
                {{.task = starts.front().task, .run = starts.front().run}});
     CHECK(waiting() == 0);
 }
+
+TEST_CASE_METHOD(SchedulerWaitingCountTest, "Scheduler_startCertainlyDidNotHappen_jobCountsAtOnce",
+                 "[scheduling]")
+{
+    // Guards against counts that lack, for a second, all jobs whose starts were just withheld.
+    const auto result = GENERATE(CallResult::Withheld, CallResult::NotSent, CallResult::NoCapacity,
+                                 CallResult::Unhealthy);
+    scheduler.onStartResult(starts.front(), result, now);
+    CHECK(waiting() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerWaitingCountTest,
+                 "Scheduler_noWorkerHasConfirmedAStart_jobIsRecordedAsQueued", "[scheduling]")
+{
+    // Guards against callers who are told that a job runs, while no worker has begun it.
+    advance(Millis(500));
+    tick<StartCommand>();
+    REQUIRE(writes.size() == 1);
+    CHECK(writes.back().updates.at(0).state == JobState::Queued);
+    scheduler.onProgressWritten(writes.back().batch, true, now);
+    confirm(starts);
+    advance(Millis(500));
+    tick<StartCommand>();
+    REQUIRE(writes.size() == 2);
+    CHECK(writes.back().updates.at(0).state == JobState::Running);
+}
