--- /dev/null
+++ b/tests/scheduling/schedulercapacity_test.cpp
@@ -0,0 +1,109 @@
+// Workers whose capacity changes while they run. The load: runs that no longer fit their worker,
+// and waiting tasks that no longer fit any.
+#include "../support/schedulerfixture.h"
+
+#include <algorithm>
+
+using namespace oleanderhall;
+using namespace oleanderhall::test;
+
+namespace {
+
+class SchedulerCapacityTest : public SchedulerTest
+{
+protected:
+    static JobSpec jobOfSize(std::uint64_t id, int count, std::int64_t milliCores)
+    {
+        StepSpec step = makeStep(count, Millis(100));
+        step.need.milliCores = milliCores;
+        return makeJob(id, "pool", {step});
+    }
+
+    /// Sets the number of millicores of both workers.
+    void resize(std::int64_t first, std::int64_t second)
+    {
+        scheduler.setWorkers({makeWorker("w1", "pool", first), makeWorker("w2", "pool", second)},
+                             now);
+    }
+
+    template <typename Action>
+    static std::vector<Action> only(const std::vector<SchedulerAction> &actions)
+    {
+        std::vector<Action> result;
+        for (const SchedulerAction &action : actions) {
+            if (const auto *wanted = std::get_if<Action>(&action))
+                result.push_back(*wanted);
+        }
+        return result;
+    }
+
+    static std::int64_t countOn(const std::vector<StartCommand> &starts, WorkerId worker)
+    {
+        return std::count_if(starts.begin(), starts.end(),
+                             [&](const StartCommand &start) { return start.worker == worker; });
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SchedulerCapacityTest, "Scheduler_workerShrinksBelowItsRuns_startsNothingThere",
+                 "[scheduler][capacity]")
+{
+    // Guards against a negative free capacity that is taken for room, and against runs being
+    // stopped that no longer count.
+    syncAllWorkers();
+    submit(jobOfSize(1, 1, 6000));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].worker == w1);
+    confirm(starts);
+    const bool isStopping = GENERATE(false, true);
+    if (isStopping)
+        scheduler.cancel({1}, now);
+    resize(4000, 0);
+    submit(jobOfSize(2, 4, 1000));
+    advance(Millis(10));
+    CHECK(tick<StartCommand>().empty());
+    resize(7000, 0);
+    CHECK(countOn(tick<StartCommand>(), w1) == 1);
+}
+
+TEST_CASE_METHOD(SchedulerCapacityTest, "Scheduler_workerShrinksBeforeItIsRead_countsItsRuns",
+                 "[scheduler][capacity]")
+{
+    // Guards against starts beside the runs of an earlier owner that exceed the capacity.
+    resize(3000, 0);
+    const JobSpec job = jobOfSize(1, 2, 2000);
+    scheduler.addJob(job, {.id = job.id, .state = JobState::Running, .isReleased = true}, true,
+                     now);
+    for (const PollRequest &request : tick<PollRequest>()) {
+        if (request.worker == w1)
+            answerPoll(request,
+                       {{.task = {{1}, 0, 0, 0}, .run = 1}, {.task = {{1}, 0, 0, 1}, .run = 1}});
+        else
+            answerPoll(request);
+    }
+    submit(jobOfSize(2, 4, 1000));
+    advance(Millis(10));
+    CHECK(tick<StartCommand>().empty());
+    CHECK(tick<StopCommand>().empty());
+    resize(6000, 0);
+    CHECK(countOn(tick<StartCommand>(), w1) == 2);
+}
+
+TEST_CASE_METHOD(SchedulerCapacityTest, "Scheduler_workerShrinks_takesNoCopies",
+                 "[scheduler][capacity]")
+{
+    // Guards against a copy that finds room only by an outdated capacity.
+    syncAllWorkers();
+    JobSpec job = jobOfSize(1, 1, 2000);
+    job.steps.front().allowsSpeculation = true;
+    submit(std::move(job));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    confirm(starts);
+    const std::int64_t otherSize = GENERATE(1000, 2000);
+    resize(starts[0].worker == w1 ? 8000 : otherSize, starts[0].worker == w1 ? otherSize : 8000);
+    advance(Millis(1500));
+    CHECK(tick<StartCommand>().size() == (otherSize == 2000 ? 1 : 0));
+}
