--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -101,6 +101,9 @@
     JobId lastFailedJob;
 
     Resources freeCapacity() const { return info.capacity - used; }
+    /// Returns whether its runs need more than its capacity, which may have shrunk since they were
+    /// placed.
+    bool isOverCapacity() const { return !used.fitsInto(info.capacity); }
     bool acceptsNewTasks(Instant now) const
     {
         return isListed && isSynced && !hasTerminated && !isCordoned && !isTerminating
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -95,7 +95,8 @@
             if (!m_startGate.mayStart(now))
                 continue;
             const auto job = m_jobs.find(run.task.job);
-            if (job == m_jobs.end() || isFinal(job->second.state)) {
+            // An earlier start may not have arrived, so the worker may not hold the task yet.
+            if (job == m_jobs.end() || isFinal(job->second.state) || worker.isOverCapacity()) {
                 requestStop(run, now);
                 continue;
             }
--- a/tests/scheduling/schedulercapacity_test.cpp
+++ b/tests/scheduling/schedulercapacity_test.cpp
@@ -107,3 +107,37 @@
     advance(Millis(1500));
     CHECK(tick<StartCommand>().size() == (otherSize == 2000 ? 1 : 0));
 }
+
+TEST_CASE_METHOD(SchedulerCapacityTest,
+                 "Scheduler_workerShrinksBeforeAStartIsRepeated_isNotOverloaded",
+                 "[scheduler][capacity]")
+{
+    // Guards against a repeated start that brings a worker over the capacity it has left.
+    const bool isGang = GENERATE(false, true);
+    const std::int64_t left = GENERATE(4000, 8000);
+    syncAllWorkers();
+    JobSpec job = jobOfSize(1, 2, 4000);
+    job.steps.front().isGang = isGang;
+    submit(std::move(job));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(countOn(starts, w1) == 2);
+    for (const StartCommand &start : starts)
+        scheduler.onStartResult(start, CallResult::Unknown, now);
+    resize(left, 8000);
+    advance(SchedulerSettings{}.commandRetryDelay);
+    const std::vector<SchedulerAction> first = scheduler.tick(now, 0);
+    if (left == 8000) {
+        CHECK(only<StartCommand>(first).size() == 2);
+        return;
+    }
+    CHECK(only<StartCommand>(first).empty());
+    const std::vector<StopCommand> stops = tick<StopCommand>();
+    REQUIRE(stops.size() == 2);
+    for (const StopCommand &stop : stops)
+        scheduler.onStopResult(stop, CallResult::Ok, now);
+    advance(Millis(10));
+    answerPoll({.worker = w1});
+    const std::vector<StartCommand> next = tick<StartCommand>();
+    CHECK(next.size() == 2);
+    CHECK(countOn(next, w1) <= 1);
+}
