--- a/src/scheduling/schedulerreservation.cpp
+++ b/src/scheduling/schedulerreservation.cpp
@@ -24,24 +24,47 @@
                      count(need.memoryMb, available.memoryMb), count(need.gpus, available.gpus)});
 }
 
+/// Returns how many tasks of the step the worker can hold once its other tasks have ended.
+int tasksThatHold(const WorkerState &worker, const StepSpec &spec)
+{
+    Resources need = spec.need;
+    if (spec.usesIdleCores)
+        need.milliCores = 0;
+    Resources available = worker.info.capacity;
+    for (const WorkerRun &run : worker.runs) {
+        if (run.isLongRunning)
+            available -= run.reservation;
+    }
+    const int count = tasksThatFit(need, available);
+    return spec.maxPerWorker > 0 ? std::min(count, spec.maxPerWorker) : count;
+}
+
 } // namespace
 
-/// Ends the pool's reservation if its step can't use it, or a worker of it takes no tasks.
+/// Ends the pool's reservation if its step can't use it, or a worker of it takes no tasks or has
+/// become too small.
 void Scheduler::checkReservation(PoolState &pool, Instant now)
 {
     if (pool.reservation.workers.empty())
         return;
     const StepPosition &position = pool.reservation.position;
-    const auto job = m_jobs.find(position.job);
-    const bool isUsable = hasTasksToStart(position)
-        && isWithinCap(job->second, job->second.spec.steps[static_cast<std::size_t>(position.step)],
-                       1, now)
-        && std::all_of(pool.reservation.workers.begin(), pool.reservation.workers.end(),
-                       [&](WorkerId id) {
-                           const auto worker = m_workers.find(id);
-                           return worker != m_workers.end() && worker->second.acceptsNewTasks(now);
-                       });
-    if (!isUsable)
+    const auto isUsable = [&] {
+        if (!hasTasksToStart(position))
+            return false;
+        const TrackedJob &job = m_jobs.at(position.job);
+        const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(position.step)];
+        if (!isWithinCap(job, spec, 1, now))
+            return false;
+        int fitting = 0;
+        for (const WorkerId id : pool.reservation.workers) {
+            const auto worker = m_workers.find(id);
+            if (worker == m_workers.end() || !worker->second.acceptsNewTasks(now))
+                return false;
+            fitting += tasksThatHold(worker->second, spec);
+        }
+        return fitting >= (spec.isGang ? spec.count : 1);
+    };
+    if (!isUsable())
         pool.reservation = {};
 }
 
@@ -76,9 +99,6 @@
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(position.step)];
     if (job.spec.queue.advice)
         return; // the policy service may deny any worker
-    Resources need = spec.need;
-    if (spec.usesIdleCores)
-        need.milliCores = 0;
     std::vector<std::pair<std::int64_t, WorkerState *>> byFreeCores;
     for (WorkerState *worker : pool.workers) {
         if (worker->acceptsNewTasks(now)
@@ -91,14 +111,7 @@
     int fitting = 0;
     std::set<WorkerId> reserved;
     for (const auto &[negatedFree, worker] : byFreeCores) {
-        Resources available = worker->info.capacity;
-        for (const WorkerRun &run : worker->runs) {
-            if (run.isLongRunning)
-                available -= run.reservation;
-        }
-        int count = tasksThatFit(need, available);
-        if (spec.maxPerWorker > 0)
-            count = std::min(count, spec.maxPerWorker);
+        const int count = tasksThatHold(*worker, spec);
         if (count <= 0)
             continue;
         reserved.insert(worker->info.id);
--- a/tests/scheduling/schedulercapacity_test.cpp
+++ b/tests/scheduling/schedulercapacity_test.cpp
@@ -141,3 +141,49 @@
     CHECK(next.size() == 2);
     CHECK(countOn(next, w1) <= 1);
 }
+
+TEST_CASE_METHOD(SchedulerCapacityTest, "Scheduler_reservedWorkerShrinks_takesOtherTasksAgain",
+                 "[scheduler][capacity][teams]")
+{
+    // Guards against a worker that stays reserved, and idle, for a task that it can't hold.
+    const TeamId large{"large"};
+    const TeamId small{"small"};
+    scheduler.setTeams({1}, {{.id = large, .weight = 1}, {.id = small, .weight = 1}}, now);
+    syncAllWorkers();
+    JobSpec job = jobOfSize(1, 100, 1000);
+    job.team = small;
+    submit(std::move(job));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 16);
+    confirm(starts);
+    job = jobOfSize(2, 1, 6000);
+    job.team = large;
+    submit(std::move(job));
+    const auto isReserved = [&] {
+        const std::vector<Decision> decisions = scheduler.takeDecisions();
+        return std::any_of(decisions.begin(), decisions.end(), [](const Decision &decision) {
+            return std::string(decision.event) == "workers_reserved";
+        });
+    };
+    scheduler.takeDecisions();
+    for (int step = 0; step < 12; ++step) {
+        CHECK(tick<StartCommand>().empty());
+        advance(Millis(100));
+    }
+    REQUIRE(isReserved());
+    resize(4000, 4000);
+    for (const WorkerId id : {w1, w2}) {
+        std::vector<EndedRun> ended;
+        for (const StartCommand &start : starts) {
+            if (start.worker == id)
+                ended.push_back({.sequence = static_cast<std::int64_t>(ended.size()) + 1,
+                                 .task = start.task,
+                                 .run = start.run,
+                                 .runOutcome = RunOutcome::Done});
+        }
+        answerPoll({.worker = id}, {}, ended);
+    }
+    const std::vector<StartCommand> next = tick<StartCommand>();
+    CHECK(countOn(next, w1) == 4);
+    CHECK(countOn(next, w2) == 4);
+}
