--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -28,6 +28,7 @@
     std::int64_t run = 0;
     Phase phase = Phase::Starting;
     Resources reservation; ///< Subtracted from the worker's free capacity.
+    bool isNeedUnknown = false; ///< Its job's steps are not known; nothing starts beside it.
     TeamId team; ///< Of the job; empty if the job has none or isn't known.
     Resources need; ///< Counted against the team's cap, also what is not reserved.
     bool usesIdleCores = false; ///< Reserves no cores.
@@ -70,6 +71,7 @@
     LeaseClock clock;
     std::vector<WorkerRun> runs;
     Resources used; ///< Sum of the reservations of `runs`.
+    int runsOfUnknownNeed = 0; ///< Of `runs`.
     bool isListed = true; ///< It has an entry in service discovery.
     Instant listedAt; ///< When this owner first saw that entry.
     HostId host; ///< As of the latest list of hosts that contained the worker; empty before.
@@ -100,10 +102,15 @@
     /// avoided.
     JobId lastFailedJob;
 
-    Resources freeCapacity() const { return info.capacity - used; }
-    /// Returns whether its runs need more than its capacity, which may have shrunk since they were
-    /// placed.
-    bool isOverCapacity() const { return !used.fitsInto(info.capacity); }
+    /// Returns the capacity that its runs leave, which is negative if it has shrunk below their
+    /// needs.
+    Resources freeCapacity() const
+    {
+        return runsOfUnknownNeed > 0 ? Resources() : info.capacity - used;
+    }
+    /// Returns whether its runs need, or may need, more than its capacity, which may have shrunk
+    /// since they were placed.
+    bool isOverCapacity() const { return runsOfUnknownNeed > 0 || !used.fitsInto(info.capacity); }
     bool acceptsNewTasks(Instant now) const
     {
         return isListed && isSynced && !hasTerminated && !isCordoned && !isTerminating
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -51,6 +51,7 @@
 void Scheduler::addRun(WorkerState &worker, WorkerRun run)
 {
     worker.used += run.reservation;
+    worker.runsOfUnknownNeed += run.isNeedUnknown ? 1 : 0;
     addUsage(worker.info.pool, run);
     worker.runs.push_back(std::move(run));
 }
@@ -58,6 +59,7 @@
 void Scheduler::removeRun(WorkerState &worker, std::size_t index)
 {
     worker.used -= worker.runs[index].reservation;
+    worker.runsOfUnknownNeed -= worker.runs[index].isNeedUnknown ? 1 : 0;
     removeUsage(worker.info.pool, worker.runs[index]);
     worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(index));
     m_needsPlacement = true;
@@ -88,6 +90,7 @@
     }
     worker.runs.clear();
     worker.used = {};
+    worker.runsOfUnknownNeed = 0;
     m_needsPlacement = true;
 }
 
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -97,6 +97,7 @@
     run.progressPercent = reported.progressPercent;
     run.checkpoint = reported.checkpoint;
     run.recentLoad = reported.recentLoad;
+    run.isNeedUnknown = !spec;
     if (spec) {
         if (job != m_jobs.end())
             run.expectedRunTime = m_runTimes.expected(job->second.spec.queue.name, *spec);
--- a/tests/scheduling/schedulercapacity_test.cpp
+++ b/tests/scheduling/schedulercapacity_test.cpp
@@ -187,3 +187,29 @@
     CHECK(countOn(next, w1) == 4);
     CHECK(countOn(next, w2) == 4);
 }
+
+TEST_CASE_METHOD(SchedulerCapacityTest,
+                 "Scheduler_runOfAnEndedJobIsBeingStopped_startsNothingBeside",
+                 "[scheduler][capacity]")
+{
+    // Guards against starts beside a run of unknown size, which an earlier owner has started.
+    resize(8000, 0);
+    const bool isRecorded = GENERATE(false, true);
+    if (isRecorded)
+        scheduler.addJob({.id = {1}}, {.id = {1}, .state = JobState::Cancelled}, true, now);
+    for (const PollRequest &request : tick<PollRequest>()) {
+        if (request.worker == w1)
+            answerPoll(request, {{.task = {{1}, 0, 0, 0}, .run = 1}});
+        else
+            answerPoll(request);
+    }
+    submit(jobOfSize(2, 8, 1000));
+    const std::vector<SchedulerAction> actions = scheduler.tick(now, 0);
+    CHECK(only<StartCommand>(actions).empty());
+    const std::vector<StopCommand> stops = only<StopCommand>(actions);
+    REQUIRE(stops.size() == 1);
+    scheduler.onStopResult(stops[0], CallResult::Ok, now);
+    advance(Millis(10));
+    answerPoll({.worker = w1});
+    CHECK(tick<StartCommand>().size() == 8);
+}
