--- a/include/oleanderhall/jobs/resources.h
+++ b/include/oleanderhall/jobs/resources.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 namespace oleanderhall {
@@ -40,6 +41,13 @@
                 .memoryMb = each.memoryMb * count,
                 .gpus = each.gpus * count};
     }
+    /// Returns the higher amount of each resource.
+    friend Resources higher(const Resources &a, const Resources &b)
+    {
+        return {.milliCores = std::max(a.milliCores, b.milliCores),
+                .memoryMb = std::max(a.memoryMb, b.memoryMb),
+                .gpus = std::max(a.gpus, b.gpus)};
+    }
     friend bool operator==(const Resources &, const Resources &) = default;
 };
 
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -142,6 +142,7 @@
         std::set<JobId> jobs;
         std::vector<WorkerState *> workers;
         Resources capacity; ///< Of the workers.
+        Resources largestWorker; ///< The highest amount of each resource on one of them.
         std::map<TeamId, Resources> used; ///< Reserved by the runs of each team.
         std::map<TeamId, RefusedStep> refused; ///< The step of each team that was refused last.
         CapacityReservation reservation;
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -137,7 +137,8 @@
         && areDependenciesDone(job, occurrence, candidate.step);
 }
 
-/// Orders the steps of the pool with tasks to start.
+/// Orders the steps of the pool with tasks to start. Omits those that no worker is large enough
+/// for, because unplaced steps limit how many others are tried.
 void Scheduler::rankSteps(PoolState &pool, Instant now)
 {
     pool.ranked.clear();
@@ -153,9 +154,12 @@
                 if (!standing)
                     standing = stepStandingOf(job, occurrence, now);
                 const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
-                standing->need = spec.isGang ? times(spec.need, spec.count) : spec.need;
+                Resources need = spec.need;
                 if (spec.usesIdleCores)
-                    standing->need.milliCores = 0;
+                    need.milliCores = 0;
+                if (!pool.workers.empty() && !need.fitsInto(pool.largestWorker))
+                    continue;
+                standing->need = spec.isGang ? times(need, spec.count) : need;
                 pool.ranked.add(job.spec.team, *standing, candidate);
             }
         }
@@ -179,11 +183,13 @@
     for (auto &[id, pool] : m_pools) {
         pool.workers.clear();
         pool.capacity = {};
+        pool.largestWorker = {};
     }
     for (auto &[id, worker] : m_workers) {
         PoolState &pool = m_pools[worker.info.pool];
         pool.workers.push_back(&worker);
         pool.capacity += worker.info.capacity;
+        pool.largestWorker = higher(pool.largestWorker, worker.info.capacity);
     }
 }
 
--- a/tests/scheduling/schedulercapacity_test.cpp
+++ b/tests/scheduling/schedulercapacity_test.cpp
@@ -213,3 +213,21 @@
     answerPoll({.worker = w1});
     CHECK(tick<StartCommand>().size() == 8);
 }
+
+TEST_CASE_METHOD(SchedulerCapacityTest, "Scheduler_manyTasksFitNoWorkerAnyMore_othersStart",
+                 "[scheduler][capacity]")
+{
+    // Guards against tasks that no worker can hold delaying those that would fit.
+    constexpr std::uint64_t kLargeJobs = 60;
+    syncAllWorkers();
+    resize(4000, 4000);
+    for (std::uint64_t id = 1; id <= kLargeJobs; ++id)
+        submit(jobOfSize(id, 1, 6000));
+    JobSpec job = jobOfSize(kLargeJobs + 1, 8, 1000);
+    job.queue.priority = 9;
+    submit(std::move(job));
+    CHECK(tick<StartCommand>().size() == 8);
+    resize(4000, 12000);
+    advance(Millis(200));
+    CHECK(countOn(tick<StartCommand>(), w2) == 1);
+}
