--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -156,6 +156,7 @@
     {
         HostId host;
         PoolId pool;
+        Resources capacity; ///< Of the host.
     };
 
     /// The number of a step's tasks that are ready, on one worker and elsewhere.
--- a/src/scheduling/schedulerhosts.cpp
+++ b/src/scheduling/schedulerhosts.cpp
@@ -12,7 +12,7 @@
     for (const HostInfo &host : hosts) {
         listed[host.id] = &host;
         if (!m_firstHostList && !host.worker.empty())
-            m_earlierWorkers[host.worker] = {host.id, host.pool};
+            m_earlierWorkers[host.worker] = {host.id, host.pool, host.capacity};
         const auto worker = m_workers.find(host.worker);
         if (worker != m_workers.end())
             worker->second.host = host.id;
--- a/src/scheduling/schedulerteams.cpp
+++ b/src/scheduling/schedulerteams.cpp
@@ -204,7 +204,8 @@
 }
 
 /// Returns the capacity of the pool's workers that this owner has not read, or nothing if it is not
-/// known. Owners reserve no more than that, and a worker that was read refuses earlier owners.
+/// known. Owners reserve no more than that, and a worker that was read refuses earlier owners. A
+/// worker that has shrunk may go on with as many runs as its host can hold.
 std::optional<Resources> Scheduler::unreadCapacity(PoolId pool) const
 {
     if (!m_firstHostList || pool.empty())
@@ -215,8 +216,12 @@
     }
     Resources sum;
     for (const auto &[id, worker] : m_workers) {
-        if (worker.info.pool == pool && !worker.isSynced && !worker.hasTerminated)
-            sum += worker.info.capacity;
+        if (worker.info.pool != pool || worker.isSynced || worker.hasTerminated)
+            continue;
+        const auto earlier = m_earlierWorkers.find(id);
+        sum += earlier == m_earlierWorkers.end()
+            ? worker.info.capacity
+            : higher(worker.info.capacity, earlier->second.capacity);
     }
     return sum;
 }
--- a/tests/scheduling/schedulercapacity_test.cpp
+++ b/tests/scheduling/schedulercapacity_test.cpp
@@ -231,3 +231,27 @@
     advance(Millis(200));
     CHECK(countOn(tick<StartCommand>(), w2) == 1);
 }
+
+TEST_CASE_METHOD(SchedulerCapacityTest, "Scheduler_workerShrinksBeforeATakeOver_capCountsItsRuns",
+                 "[scheduler][capacity][teams]")
+{
+    // Guards against a cap that is exceeded because the runs of an unread worker count only as far
+    // as they fit into the capacity that it has left.
+    const TeamId team{"a"};
+    Scheduler next(SchedulerSettings{}, 1, now);
+    next.setTeams({1}, {{.id = team, .weight = 1, .maxRunning = {.milliCores = 10000}}}, now);
+    next.setWorkers({makeWorker("w1", "pool", 2000), makeWorker("w2", "pool", 16000)}, now);
+    HostInfo shrunk = makeHost("h1", w1);
+    shrunk.capacity = {.milliCores = 8000, .memoryMb = 100000};
+    next.updateHosts({shrunk, makeHost("h2", w2)}, now, now);
+    JobSpec job = jobOfSize(1, 8, 1000);
+    job.team = team;
+    next.addJob(job, {.id = job.id, .state = JobState::Running, .isReleased = true}, true, now);
+    job = jobOfSize(2, 8, 1000);
+    job.team = team;
+    advance(Millis(3000));
+    next.addJob(job, {.id = job.id, .isReleased = true}, false, now);
+    const WorkerStatus status{.clock = std::chrono::duration_cast<Millis>(now.time_since_epoch())};
+    next.onPollResult({.worker = w2}, CallResult::Ok, status, now, now);
+    CHECK(only<StartCommand>(next.tick(now, 0)).size() == 2);
+}
