--- a/include/oleanderhall/maintenance/hostplanner.h
+++ b/include/oleanderhall/maintenance/hostplanner.h
@@ -35,17 +35,24 @@
 {
     bool isKnown = false; ///< The worker is listed and its state has been read.
     bool isEmpty = true; ///< No task runs on the worker.
-    bool mayInterrupt = true; ///< Its tasks may be ended without violating a budget.
     double batchCores = 0; ///< Cores used by tasks that are not long-running.
 };
 
+/// Looks up what a plan depends on. A plan calls the functions only for the workers that one of its
+/// decisions considers, and at most once for each, as a fleet has many workers.
+struct WorkerLookup
+{
+    std::function<WorkerUsage(WorkerId)> usageOf;
+    /// Returns whether the worker's tasks may be ended without violating a budget. Asked only for
+    /// workers of open waves that run nothing but long-running tasks, or nothing.
+    std::function<bool(WorkerId)> mayInterrupt;
+};
+
 /// A HostPlanner decides when hosts are maintained and which pool each host belongs to. It does no
 /// I/O. Only the owner sends its commands, with the owner's fencing token.
 class HostPlanner
 {
 public:
-    using UsageLookup = std::function<WorkerUsage(WorkerId)>;
-
     struct Plan
     {
         std::vector<HostCommand> commands;
@@ -82,12 +89,12 @@
     /// Handles the result of a planned command. Every planned command must get one.
     void onCommandResult(const HostCommand &command, HostCommandResult result, Instant now);
     /// Returns the commands to send now and the workers to cordon or evacuate. The plan is empty
-    /// until the first list of hosts. `usageOf` returns the current load of a worker.
-    Plan plan(const PoolDemands &demands, const UsageLookup &usageOf, Instant now);
+    /// until the first list of hosts. `lookup` must not change its answers during the call.
+    Plan plan(const PoolDemands &demands, const WorkerLookup &lookup, Instant now);
 
     /// Returns the hosts of a wave that need no further command: their maintenance has started, or
-    /// the platform rejected it for good.
-    std::set<HostId> handledHosts(std::int64_t wave) const;
+    /// the platform rejected it for good. Valid until the planner is changed.
+    const std::set<HostId> &handledHosts(std::int64_t wave) const;
     /// Returns the workers that the platform lists in `pool`, or nothing before the first list.
     std::optional<std::vector<WorkerId>> workersIn(PoolId pool) const;
     /// Returns whether a command, move or maintenance is in progress, so that the list of hosts
@@ -98,7 +105,8 @@
     struct Host
     {
         HostInfo info;
-        WorkerUsage usage; ///< Of its worker, as of the current plan.
+        std::optional<WorkerUsage> usage; ///< Of its worker, once the current plan looked it up.
+        std::optional<bool> mayInterrupt; ///< The same for WorkerLookup::mayInterrupt.
         bool isCommandInFlight = false;
         PoolId targetPool; ///< Target of the last command; empty for maintenance.
         Instant nextCommandAt; ///< The earliest time of the next command.
@@ -124,14 +132,17 @@
         double coresPerHost = 1;
     };
 
+    static const WorkerUsage &usageOf(Host &host, const WorkerLookup &lookup);
+    static bool mayInterrupt(Host &host, const WorkerLookup &lookup);
     bool acceptsCommands(const Host &host, Instant now) const;
-    void planWaves(Instant now, Plan &plan);
-    void planMoves(const PoolDemands &demands, Instant now, Plan &plan);
+    void planWaves(const WorkerLookup &lookup, Instant now, Plan &plan);
+    void planMoves(const PoolDemands &demands, const WorkerLookup &lookup, Instant now, Plan &plan);
     std::map<PoolId, PoolState> poolStates(const PoolDemands &demands, Instant now) const;
     /// Returns whether `pool` has a host that is in a wave and still needs a command for it.
     bool awaitsMaintenance(PoolId pool) const;
-    Host *findFreeHost(PoolId from, PoolId to, Instant now);
-    void cordonLeastLoaded(PoolId pool, int count, Instant now, Plan &plan);
+    Host *findFreeHost(PoolId from, PoolId to, const WorkerLookup &lookup, Instant now);
+    void cordonLeastLoaded(PoolId pool, int count, const WorkerLookup &lookup, Instant now,
+                           Plan &plan);
     void addCommand(Host &host, HostCommand command, Plan &plan);
 
     HostPlannerSettings m_settings;
--- a/src/maintenance/hostplanner.cpp
+++ b/src/maintenance/hostplanner.cpp
@@ -56,13 +56,17 @@
     if (state.wave.number == 0)
         state.firstSeen = firstSeen;
     state.wave = wave;
-    state.handledHosts.insert(handled.begin(), handled.end());
+    // Comparing two sorted ranges is much cheaper than inserting hosts that are known.
+    if (!std::includes(state.handledHosts.begin(), state.handledHosts.end(), handled.begin(),
+                       handled.end()))
+        state.handledHosts.insert(handled.begin(), handled.end());
 }
 
-std::set<HostId> HostPlanner::handledHosts(std::int64_t wave) const
+const std::set<HostId> &HostPlanner::handledHosts(std::int64_t wave) const
 {
+    static const std::set<HostId> none;
     const auto found = m_waves.find(wave);
-    return found == m_waves.end() ? std::set<HostId>() : found->second.handledHosts;
+    return found == m_waves.end() ? none : found->second.handledHosts;
 }
 
 std::optional<std::vector<WorkerId>> HostPlanner::workersIn(PoolId pool) const
@@ -141,20 +145,36 @@
     host.nextCommandAt = now + m_settings.commandRetryDelay;
 }
 
-HostPlanner::Plan HostPlanner::plan(const PoolDemands &demands, const UsageLookup &usageOf,
+const WorkerUsage &HostPlanner::usageOf(Host &host, const WorkerLookup &lookup)
+{
+    if (!host.usage)
+        host.usage = lookup.usageOf(host.info.worker);
+    return *host.usage;
+}
+
+bool HostPlanner::mayInterrupt(Host &host, const WorkerLookup &lookup)
+{
+    if (!host.mayInterrupt)
+        host.mayInterrupt = lookup.mayInterrupt(host.info.worker);
+    return *host.mayInterrupt;
+}
+
+HostPlanner::Plan HostPlanner::plan(const PoolDemands &demands, const WorkerLookup &lookup,
                                     Instant now)
 {
     Plan plan;
     if (!m_hasHostList)
         return plan;
-    for (auto &[id, host] : m_hosts)
-        host.usage = usageOf(host.info.worker);
-    planWaves(now, plan);
-    planMoves(demands, now, plan);
+    for (auto &[id, host] : m_hosts) {
+        host.usage.reset();
+        host.mayInterrupt.reset();
+    }
+    planWaves(lookup, now, plan);
+    planMoves(demands, lookup, now, plan);
     return plan;
 }
 
-void HostPlanner::planWaves(Instant now, Plan &plan)
+void HostPlanner::planWaves(const WorkerLookup &lookup, Instant now, Plan &plan)
 {
     // mayInterrupt considers each host alone, so a plan interrupts the tasks of at most one host,
     // whichever wave it belongs to, and then evacuates none.
@@ -187,13 +207,24 @@
             state.isCompleted = remaining.empty();
             plan.waveStates.emplace_back(number, state.isCompleted);
         }
+        for (const Host *host : remaining)
+            plan.awaitingMaintenance.insert(host->info.worker);
+        if (unavailable >= state.wave.maxAtOnce)
+            continue;
         // Idle hosts come first, then those that run only long-running tasks that may be
         // interrupted, then the others, the least loaded first.
         std::vector<std::pair<double, Host *>> ranked;
         for (Host *host : remaining) {
-            const WorkerUsage &usage = host->usage;
-            plan.awaitingMaintenance.insert(host->info.worker);
-            const bool isFree = usage.isEmpty || (usage.batchCores == 0 && usage.mayInterrupt);
+            if (!acceptsCommands(*host, now))
+                continue;
+            const WorkerUsage &usage = usageOf(*host, lookup);
+            // A worker whose state has not been read may run tasks, so its host must wait. Spare
+            // hosts are off and have no worker; elsewhere the list may lack a new worker.
+            const bool isOff = host->info.worker.empty() && host->info.pool == m_sparePool;
+            if (!usage.isKnown && !isOff)
+                continue;
+            const bool isFree = usage.isEmpty
+                || (usage.batchCores == 0 && mayInterrupt(*host, lookup));
             ranked.emplace_back(isFree ? (usage.isEmpty ? 0 : 1) : 2 + usage.batchCores, host);
         }
         std::stable_sort(ranked.begin(), ranked.end(),
@@ -208,18 +239,13 @@
         for (const auto &[rank, host] : ranked) {
             if (unavailable >= state.wave.maxAtOnce)
                 break;
-            if (!acceptsCommands(*host, now))
-                continue;
-            const WorkerUsage &usage = host->usage;
-            // A worker whose state has not been read may run tasks, so its host must wait. Spare
-            // hosts are off and have no worker; elsewhere the list may lack a new worker.
-            const bool isOff = host->info.worker.empty() && host->info.pool == m_sparePool;
-            if (!usage.isKnown && !isOff)
-                continue;
-            if (rank < 2 && usage.mayInterrupt) {
-                if (!usage.isEmpty && isInterrupting)
+            if (host->isCommandInFlight)
+                continue; // the wave names the host twice
+            const bool isEmpty = usageOf(*host, lookup).isEmpty;
+            if (rank < 2 && mayInterrupt(*host, lookup)) {
+                if (!isEmpty && isInterrupting)
                     break; // idle hosts come first, so none is left
-                isInterrupting = isInterrupting || !usage.isEmpty;
+                isInterrupting = isInterrupting || !isEmpty;
                 ++unavailable;
                 state.unavailableUntil[host->info.id] = now + m_settings.maintenanceTime;
                 addCommand(*host,
@@ -285,7 +311,8 @@
     return states;
 }
 
-HostPlanner::Host *HostPlanner::findFreeHost(PoolId from, PoolId to, Instant now)
+HostPlanner::Host *HostPlanner::findFreeHost(PoolId from, PoolId to, const WorkerLookup &lookup,
+                                             Instant now)
 {
     for (auto &[id, host] : m_hosts) {
         if (host.info.pool != from || !acceptsCommands(host, now)
@@ -293,20 +320,21 @@
             continue;
         if (from == m_sparePool)
             return &host;
-        const WorkerUsage &usage = host.usage;
+        const WorkerUsage &usage = usageOf(host, lookup);
         if (usage.isKnown && usage.isEmpty)
             return &host;
     }
     return nullptr;
 }
 
-void HostPlanner::cordonLeastLoaded(PoolId pool, int count, Instant now, Plan &plan)
+void HostPlanner::cordonLeastLoaded(PoolId pool, int count, const WorkerLookup &lookup, Instant now,
+                                    Plan &plan)
 {
     std::vector<std::pair<double, WorkerId>> ranked;
-    for (const auto &[id, host] : m_hosts) {
+    for (auto &[id, host] : m_hosts) {
         if (host.info.pool != pool || !acceptsCommands(host, now))
             continue;
-        const WorkerUsage &usage = host.usage;
+        const WorkerUsage &usage = usageOf(host, lookup);
         if (usage.isKnown && usage.batchCores > 0)
             ranked.emplace_back(usage.batchCores, host.info.worker);
     }
@@ -318,7 +346,8 @@
     }
 }
 
-void HostPlanner::planMoves(const PoolDemands &demands, Instant now, Plan &plan)
+void HostPlanner::planMoves(const PoolDemands &demands, const WorkerLookup &lookup, Instant now,
+                            Plan &plan)
 {
     if (m_sparePool.empty() && m_pools.size() < 2)
         return;
@@ -343,7 +372,7 @@
             PoolState &donor = states[source];
             while (recipient.currentHosts < recipient.desiredHosts
                    && (source == m_sparePool || donor.currentHosts > donor.desiredHosts)) {
-                Host *host = findFreeHost(source, pool, now);
+                Host *host = findFreeHost(source, pool, lookup, now);
                 if (!host)
                     break;
                 ++recipient.currentHosts;
@@ -359,7 +388,7 @@
                 cordonLeastLoaded(source,
                                   std::min(donor.currentHosts - donor.desiredHosts,
                                            recipient.desiredHosts - recipient.currentHosts),
-                                  now, plan);
+                                  lookup, now, plan);
         }
     }
     if (m_sparePool.empty())
@@ -375,7 +404,7 @@
         if (now - since < m_settings.surplusTime)
             continue;
         while (state.currentHosts > state.desiredHosts) {
-            Host *host = findFreeHost(pool, m_sparePool, now);
+            Host *host = findFreeHost(pool, m_sparePool, lookup, now);
             if (!host)
                 break;
             --state.currentHosts;
--- a/src/node/hostcontroller.cpp
+++ b/src/node/hostcontroller.cpp
@@ -247,7 +247,7 @@
     m_hostStates[host.id] = host.state;
 }
 
-WorkerUsage HostController::workerUsage(WorkerId id, Instant now) const
+WorkerUsage HostController::workerUsage(WorkerId id) const
 {
     const auto found = m_scheduler.workers().find(id);
     if (found == m_scheduler.workers().end())
@@ -255,8 +255,7 @@
     constexpr double kMilliCoresPerCore = 1000;
     const WorkerState &worker = found->second;
     WorkerUsage usage{.isKnown = worker.isListed && worker.isSynced && !worker.isTerminating,
-                      .isEmpty = worker.runs.empty(),
-                      .mayInterrupt = m_scheduler.mayInterrupt(id, now)};
+                      .isEmpty = worker.runs.empty()};
     for (const WorkerRun &run : worker.runs) {
         if (!run.isLongRunning)
             usage.batchCores += std::max(
@@ -284,14 +283,16 @@
     distrustEarlierCommands(now);
     if (m_view.config)
         m_planner.setPools(m_view.config->pools);
+    static const std::set<HostId> none;
     for (const auto &[number, wave] : m_view.waves) {
         const auto known = m_view.handledHosts.find(number);
         m_planner.addWave(wave, m_view.waveSeenAt.at(number),
-                          known == m_view.handledHosts.end() ? std::set<HostId>() : known->second);
+                          known == m_view.handledHosts.end() ? none : known->second);
     }
-    const HostPlanner::Plan plan = m_planner.plan(
-        m_scheduler.poolDemands(now), [&](WorkerId worker) { return workerUsage(worker, now); },
-        now);
+    const WorkerLookup lookup{
+        .usageOf = [this](WorkerId worker) { return workerUsage(worker); },
+        .mayInterrupt = [&](WorkerId worker) { return m_scheduler.mayInterrupt(worker, now); }};
+    const HostPlanner::Plan plan = m_planner.plan(m_scheduler.poolDemands(now), lookup, now);
     m_scheduler.cordon(plan.cordoned);
     m_scheduler.setAwaitingMaintenance(plan.awaitingMaintenance);
     m_scheduler.evacuate(plan.evacuated, now);
@@ -374,7 +375,7 @@
         return;
     m_nextHandledHostsRecord = now + kHandledHostsRecordInterval;
     for (const auto &[number, wave] : m_view.waves) {
-        const std::set<HostId> handled = m_planner.handledHosts(number);
+        const std::set<HostId> &handled = m_planner.handledHosts(number);
         if (handled.size() <= m_recordedHostCounts[number])
             continue;
         web::json::value list = web::json::value::array();
--- a/src/node/hostcontroller.h
+++ b/src/node/hostcontroller.h
@@ -48,7 +48,7 @@
     void send(const HostCommand &command, WorkerId worker);
     void onCommandAnswered(const HostCommand &command, WorkerId worker, HostCommandResult result);
     void updateState(const HostInfo &host);
-    WorkerUsage workerUsage(WorkerId worker, Instant now) const;
+    WorkerUsage workerUsage(WorkerId worker) const;
     void distrustEarlierCommands(Instant now);
     void recordHandledHosts(Instant now);
     void publishWaveState();
