--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,20 +1,25 @@
 #include "httpclient.h"
 
+#include "calldeadlines.h"
+#include "responseparser.h"
+
 #include "oleanderhall/core/clock.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 
+#include <algorithm>
 #include <cerrno>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
 
 namespace oleanderhall {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
 
 namespace {
 
@@ -32,17 +37,38 @@
             static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
-HeaderList headersOf(const http::response<http::string_body> &response)
+bool isNamed(const std::pair<std::string, std::string> &field, const char *name)
 {
-    HeaderList headers;
-    for (const auto &field : response)
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    return headers;
+    return beast::iequals(field.first, name);
+}
+
+/// Appends the fields of `headers` that the client doesn't set itself; of fields with the same name
+/// the last one counts.
+void appendFields(const HeaderList &headers, std::string &out)
+{
+    for (auto field = headers.begin(); field != headers.end(); ++field) {
+        const bool isReplaced = std::any_of(field + 1, headers.end(), [&](const auto &later) {
+            return isNamed(later, field->first.c_str());
+        });
+        if (isReplaced || isNamed(*field, "Content-Length") || isNamed(*field, "Transfer-Encoding"))
+            continue;
+        out.append(field->first).append(": ").append(field->second).append("\r\n");
+    }
 }
 
-http::verb verbOf(const std::string &method)
+/// Replaces `out` by the request of `call` with its body, so that one write sends it.
+void encodeRequest(const HttpCall &call, const std::string &host, std::string &out)
 {
-    return http::string_to_verb(method);
+    out.clear();
+    out.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\n");
+    const bool namesHost = std::any_of(call.headers.begin(), call.headers.end(),
+                                       [](const auto &field) { return isNamed(field, "Host"); });
+    if (!namesHost)
+        out.append("Host: ").append(host).append("\r\n");
+    appendFields(call.headers, out);
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
+        out.append("Content-Length: ").append(std::to_string(call.body.size())).append("\r\n");
+    out.append("\r\n").append(call.body);
 }
 
 } // namespace
@@ -60,20 +86,29 @@
 
 struct HttpClient::Connection
 {
+    using Executor = asio::io_context::executor_type;
+
     explicit Connection(asio::io_context &io)
-        : stream(io)
+        : socket(io)
     {
         buffer.reserve(kBufferBytes);
     }
 
-    beast::tcp_stream stream;
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
+    asio::basic_stream_socket<asio::ip::tcp, Executor> socket;
     beast::flat_buffer buffer;
     bool isOpen = false;
     bool isBusy = false;
     bool wasUsed = false;
     Pending pending;
-    http::request<http::string_body> request;
-    std::unique_ptr<http::response_parser<http::string_body>> parser;
+    std::string request;
+    std::optional<ResponseParser> parser;
+    std::optional<CallDeadlines::Handle> deadline; ///< Of the current step of the call.
 };
 
 bool HttpClient::isClosedByServer(Connection &connection)
@@ -81,7 +116,7 @@
     if (!connection.isOpen)
         return false;
     char byte = 0;
-    const auto received = ::recv(connection.stream.socket().native_handle(), &byte, 1,
+    const auto received = ::recv(connection.socket.native_handle(), &byte, 1,
                                  MSG_PEEK | MSG_DONTWAIT);
     // Nothing to read is the normal state of an idle connection.
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
@@ -89,6 +124,7 @@
 
 HttpClient::HttpClient(asio::io_context &io, const std::string &address, std::size_t connections)
     : m_io(io)
+    , m_deadlines(asio::use_service<CallDeadlines>(io))
     , m_endpoint(endpointOf(address))
     , m_host(address)
     , m_maxConnections(connections)
@@ -106,7 +142,7 @@
 {
     m_isClosed = true;
     for (const auto &connection : m_connections)
-        connection->stream.close();
+        connection->close();
     asio::post(m_io, [self = shared_from_this()] { self->dispatchQueued(); });
 }
 
@@ -158,26 +194,46 @@
     }
 }
 
+void HttpClient::setDeadline(Connection &connection, Instant deadline)
+{
+    clearDeadline(connection);
+    connection.deadline = m_deadlines.add(deadline, [&connection] {
+        // The operation in progress then fails, which ends the call.
+        connection.deadline.reset();
+        connection.close();
+    });
+}
+
+void HttpClient::clearDeadline(Connection &connection)
+{
+    if (connection.deadline)
+        m_deadlines.remove(*connection.deadline);
+    connection.deadline.reset();
+}
+
 void HttpClient::connect(const std::shared_ptr<Connection> &connection)
 {
     ++m_connectionsOpened;
     const Pending &pending = connection->pending;
-    connection->stream.expires_after(std::min<Instant::duration>(
-        pending.sent + pending.call.timeout - monotonicNow(), kConnectTimeout));
-    connection->stream.async_connect(
-        m_endpoint, [self = shared_from_this(), connection](const beast::error_code &failed) {
-            if (failed) {
+    setDeadline(*connection,
+                std::min(pending.sent + pending.call.timeout, monotonicNow() + kConnectTimeout));
+    connection->socket.async_connect(
+        m_endpoint,
+        [self = shared_from_this(), connection](const boost::system::error_code &failed) {
+            // The deadline may have passed after the connection was established.
+            if (failed || !connection->socket.is_open()) {
                 self->finish(connection, {.outcome = HttpResult::Outcome::NotSent}, false);
                 return;
             }
             connection->isOpen = true;
-            beast::error_code ignored;
-            connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            boost::system::error_code ignored;
+            connection->socket.non_blocking(true, ignored);
+            connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
             using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-            connection->stream.socket().set_option(UserTimeout(kUnackedTimeoutMs), ignored);
+            connection->socket.set_option(UserTimeout(kUnackedTimeoutMs), ignored);
             // Resets the connection when it is closed. A graceful close would let the kernel go on
             // sending a call that has timed out.
-            connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
             if (isPermitted(connection->pending))
                 self->write(connection);
             else
@@ -188,65 +244,93 @@
 void HttpClient::write(const std::shared_ptr<Connection> &connection)
 {
     const HttpCall &call = connection->pending.call;
-    auto &request = connection->request;
-    request = {};
-    request.version(11);
-    request.method(verbOf(call.method));
-    request.target(call.target);
-    request.set(http::field::host, m_host);
-    for (const auto &[name, value] : call.headers)
-        request.set(name, value);
-    request.body() = call.body;
-    if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
-        request.prepare_payload();
-    connection->parser = std::make_unique<http::response_parser<http::string_body>>();
-    connection->parser->body_limit(kMaxResponseBytes);
-    connection->stream.expires_after(connection->pending.sent + call.timeout - monotonicNow());
-    const auto onFailure = [this](const std::shared_ptr<Connection> &target) {
-        Pending &pending = target->pending;
-        // The server may have closed the reused connection in the meantime; a retryable call is
-        // sent once more, on another connection.
-        const bool isStale = target->wasUsed && pending.call.isRetryable && !pending.isRetry
-            && monotonicNow() < pending.sent + pending.call.timeout;
-        if (!isStale) {
-            finish(target, {.outcome = HttpResult::Outcome::Unknown}, false);
-            return;
-        }
-        pending.isRetry = true;
-        m_queue.push_front(std::move(pending));
-        retire(target);
-        dispatchQueued();
-    };
-    http::async_write(
-        connection->stream, request,
-        [self = shared_from_this(), connection, onFailure](const beast::error_code &failed,
-                                                           std::size_t) {
-            if (failed) {
-                onFailure(connection);
-                return;
-            }
-            http::async_read(
-                connection->stream, connection->buffer, *connection->parser,
-                [self, connection, onFailure](const beast::error_code &readError, std::size_t) {
-                    if (readError) {
-                        onFailure(connection);
-                        return;
-                    }
-                    auto response = connection->parser->release();
-                    const bool keepOpen = response.keep_alive();
-                    HeaderList headers;
-                    if (connection->pending.call.wantsHeaders)
-                        headers = headersOf(response);
-                    self->finish(connection,
-                                 {.outcome = HttpResult::Outcome::Responded,
-                                  .status = static_cast<int>(response.result_int()),
-                                  .headers = std::move(headers),
-                                  .body = std::move(response.body())},
-                                 keepOpen);
-                });
+    encodeRequest(call, m_host, connection->request);
+    connection->parser.emplace(kMaxResponseBytes, call.wantsHeaders);
+    setDeadline(*connection, connection->pending.sent + call.timeout);
+    // Without a handler, as the socket's buffer usually has room for the whole request.
+    boost::system::error_code failed;
+    const std::size_t written = connection->socket.write_some(asio::buffer(connection->request),
+                                                              failed);
+    if (!failed && written == connection->request.size()) {
+        read(connection);
+        return;
+    }
+    if (failed && failed != asio::error::would_block) {
+        asio::post(m_io, [self = shared_from_this(), connection] { self->fail(connection); });
+        return;
+    }
+    asio::async_write(connection->socket, asio::buffer(connection->request) + written,
+                      [self = shared_from_this(),
+                       connection](const boost::system::error_code &writeError, std::size_t) {
+                          if (writeError)
+                              self->fail(connection);
+                          else
+                              self->read(connection);
+                      });
+}
+
+void HttpClient::read(const std::shared_ptr<Connection> &connection)
+{
+    beast::flat_buffer &buffer = connection->buffer;
+    const std::size_t room = std::max(kBufferBytes, buffer.capacity() - buffer.size());
+    connection->socket.async_read_some(
+        buffer.prepare(room),
+        [self = shared_from_this(), connection](const boost::system::error_code &failed,
+                                                std::size_t received) {
+            self->onRead(connection, failed, received);
         });
 }
 
+void HttpClient::onRead(const std::shared_ptr<Connection> &connection,
+                        boost::system::error_code failed, std::size_t received)
+{
+    ResponseParser &parser = *connection->parser;
+    beast::flat_buffer &buffer = connection->buffer;
+    buffer.commit(received);
+    if (!failed) {
+        buffer.consume(parser.put(buffer.data(), failed));
+        if (failed == beast::http::error::need_more)
+            failed = {};
+    } else if (failed == asio::error::eof && parser.got_some()) {
+        // The end of the connection may be the end of the response.
+        failed = {};
+        parser.put_eof(failed);
+    }
+    if (failed) {
+        fail(connection);
+        return;
+    }
+    if (!parser.is_done()) {
+        read(connection);
+        return;
+    }
+    const bool keepOpen = parser.keep_alive();
+    finish(connection,
+           {.outcome = HttpResult::Outcome::Responded,
+            .status = parser.status(),
+            .headers = parser.takeHeaders(),
+            .body = parser.takeBody()},
+           keepOpen);
+}
+
+void HttpClient::fail(const std::shared_ptr<Connection> &connection)
+{
+    Pending &pending = connection->pending;
+    // The server may have closed the reused connection in the meantime; a retryable call is
+    // sent once more, on another connection.
+    const bool isStale = connection->wasUsed && pending.call.isRetryable && !pending.isRetry
+        && monotonicNow() < pending.sent + pending.call.timeout;
+    if (!isStale) {
+        finish(connection, {.outcome = HttpResult::Outcome::Unknown}, false);
+        return;
+    }
+    clearDeadline(*connection);
+    pending.isRetry = true;
+    m_queue.push_front(std::move(pending));
+    retire(connection);
+    dispatchQueued();
+}
+
 void HttpClient::finish(const std::shared_ptr<Connection> &connection, HttpResult result,
                         bool keepOpen)
 {
@@ -254,7 +338,9 @@
     result.sent = pending.sent;
     connection->isBusy = false;
     connection->wasUsed = true;
-    connection->stream.expires_never();
+    clearDeadline(*connection);
+    // The deadline may have passed in the same turn of the event loop as the response.
+    keepOpen = keepOpen && connection->socket.is_open();
     if (!keepOpen)
         retire(connection);
     pending.done(std::move(result));
@@ -263,7 +349,7 @@
 
 void HttpClient::retire(const std::shared_ptr<Connection> &connection)
 {
-    connection->stream.close();
+    connection->close();
     std::erase(m_connections, connection);
 }
 
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -18,6 +18,8 @@
 
 namespace oleanderhall {
 
+class CallDeadlines;
+
 /// Internal: a request of an HttpClient.
 struct HttpCall
 {
@@ -87,10 +89,17 @@
     void dispatchQueued();
     void connect(const std::shared_ptr<Connection> &connection);
     void write(const std::shared_ptr<Connection> &connection);
+    void read(const std::shared_ptr<Connection> &connection);
+    void onRead(const std::shared_ptr<Connection> &connection, boost::system::error_code failed,
+                std::size_t received);
+    void fail(const std::shared_ptr<Connection> &connection);
+    void setDeadline(Connection &connection, Instant deadline);
+    void clearDeadline(Connection &connection);
     void finish(const std::shared_ptr<Connection> &connection, HttpResult result, bool keepOpen);
     void retire(const std::shared_ptr<Connection> &connection);
 
     boost::asio::io_context &m_io;
+    CallDeadlines &m_deadlines;
     boost::asio::ip::tcp::endpoint m_endpoint;
     std::string m_host;
     std::size_t m_maxConnections;
