--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -304,7 +304,8 @@
         read(connection);
         return;
     }
-    const bool keepOpen = parser.keep_alive();
+    // Bytes beyond the response belong to no call; the next one must not read them.
+    const bool keepOpen = parser.keep_alive() && buffer.size() == 0;
     finish(connection,
            {.outcome = HttpResult::Outcome::Responded,
             .status = parser.status(),
--- a/tests/http/httpclient_test.cpp
+++ b/tests/http/httpclient_test.cpp
@@ -195,6 +195,21 @@
     CHECK(results[1].body == "abcd");
 }
 
+TEST_CASE("HttpClient_bytesBeyondTheResponse_answerNoOtherCall", "[http]")
+{
+    // Guards against a call that takes what a server sent too much for its own response.
+    FakeUpstream upstream([](FakeUpstream::Socket &socket, const std::string &, int number) {
+        FakeUpstream::send(socket,
+                           FakeUpstream::okResponse(std::to_string(number))
+                               + FakeUpstream::okResponse("nobody's"));
+        return true;
+    });
+    const std::vector<HttpResult> results = resultsOf(upstream, 2, kPost);
+    REQUIRE(results.size() == 2);
+    CHECK(results[0].body == "1");
+    CHECK(results[1].body == "2");
+}
+
 TEST_CASE("HttpClient_fieldsGivenByTheCall_areSentOnce", "[http]")
 {
     // Guards against two values of a field, of which a server may use either.
