--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -132,6 +132,8 @@
     bool isSynced(PoolId pool) const;
     /// Returns the same for all pools.
     bool isSynced() const;
+    /// Returns whether each index equals what a search of all jobs and workers finds. For tests.
+    bool areIndexesConsistent() const;
 
 private:
     using StepQueues = TeamQueues<WeightedFairShare, StepPosition>;
@@ -211,6 +213,8 @@
     void sendPoll(WorkerState &worker, Instant now, std::vector<SchedulerAction> &out);
     void writeProgress(Instant now, std::vector<SchedulerAction> &out);
     void expireOldJobs(Instant now);
+    void indexEnded(const TrackedJob &job);
+    bool isEndedIndexConsistent() const;
 
     // Teams.
     void addUsage(PoolId pool, const WorkerRun &run);
@@ -321,6 +325,9 @@
     TicketCache m_tickets;
     std::set<JobId> m_dirty; ///< Jobs with progress to be recorded.
     JobId m_firstDirty; ///< The next write begins with this job, so that none waits forever.
+    /// Ended jobs whose progress is recorded, by the time of their end.
+    std::set<std::pair<Instant, JobId>> m_ended;
+    std::set<JobId> m_due; ///< Those of them whose records are due to be deleted.
     std::vector<JobId> m_expiredJobs; ///< Ended jobs whose records are to be deleted.
     std::uint64_t m_batch = 0; ///< The number of the last write.
     std::optional<std::uint64_t> m_batchInFlight;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -109,6 +109,7 @@
     }
     if (isFinal(job.state)) {
         job.ended = accepted;
+        indexEnded(job);
         return;
     }
     m_active.insert(id);
@@ -278,6 +279,7 @@
 {
     job.isDirty = true;
     job.isRecorded = false;
+    indexEnded(job);
     m_dirty.insert(job.spec.id);
 }
 
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -319,8 +319,10 @@
         // A release that was decided while the write was in flight is not part of it.
         found->second.isReleaseRecorded = found->second.isReleaseRecorded
             || found->second.isReleaseInBatch;
-        if (!found->second.isDirty)
+        if (!found->second.isDirty) {
             found->second.isRecorded = true;
+            indexEnded(found->second);
+        }
         m_needsPlacement = true;
     }
     for (const JobId id : m_batchDropped)
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -218,14 +218,27 @@
 
 void Scheduler::expireOldJobs(Instant now)
 {
-    for (const auto &[id, job] : m_jobs) {
-        if (!isFinal(job.state) || !job.isRecorded
-            || now - job.ended < m_settings.statusLifetime + kStatusLifetimeSlack)
-            continue;
-        if (std::find(m_expiredJobs.begin(), m_expiredJobs.end(), id) == m_expiredJobs.end())
-            m_expiredJobs.push_back(id);
-        if (m_expiredJobs.size() >= m_settings.maxJobsPerWrite)
-            return;
+    const Instant limit = now - (m_settings.statusLifetime + kStatusLifetimeSlack);
+    while (!m_ended.empty() && m_ended.begin()->first <= limit) {
+        m_due.insert(m_ended.begin()->second);
+        m_ended.erase(m_ended.begin());
+    }
+    while (!m_due.empty() && m_expiredJobs.size() < m_settings.maxJobsPerWrite) {
+        m_expiredJobs.push_back(*m_due.begin());
+        m_due.erase(m_due.begin());
+    }
+}
+
+/// Updates the index of ended jobs after a change of the job's state or record.
+void Scheduler::indexEnded(const TrackedJob &job)
+{
+    if (!isFinal(job.state))
+        return;
+    if (job.isRecorded) {
+        m_ended.emplace(job.ended, job.spec.id);
+    } else {
+        m_ended.erase({job.ended, job.spec.id});
+        m_due.erase(job.spec.id);
     }
 }
 
