--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -142,6 +142,7 @@
     struct PoolState
     {
         std::set<JobId> jobs;
+        std::set<JobId> startable; ///< Contains each of them that has tasks to start.
         std::vector<WorkerState *> workers;
         Resources capacity; ///< Of the workers.
         std::map<TeamId, Resources> used; ///< Reserved by the runs of each team.
@@ -215,6 +216,7 @@
     void expireOldJobs(Instant now);
     void indexEnded(const TrackedJob &job);
     bool isEndedIndexConsistent() const;
+    bool isStartableIndexConsistent() const;
 
     // Teams.
     void addUsage(PoolId pool, const WorkerRun &run);
@@ -240,6 +242,8 @@
     void placePool(PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
     void rankSteps(PoolState &pool, Instant now);
     bool hasTasksToStart(const StepPosition &candidate) const;
+    bool hasTasksToStart(const TrackedJob &job, const Occurrence &occurrence, int step) const;
+    void noteTasksToStart(JobId id);
     void groupWorkersByPool();
     void groupJobsByPool();
     bool placeStep(PoolState &pool, const StepPosition &candidate, Instant now,
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -114,6 +114,7 @@
     }
     m_active.insert(id);
     m_pools[job.spec.queue.pool].jobs.insert(id);
+    noteTasksToStart(id);
     if (job.spec.occurrences > 0)
         m_recurring.insert(id);
     if (job.spec.occurrences == 0) {
@@ -176,6 +177,7 @@
             if (wallClockMs < job.spec.firstDueMs + next * job.spec.intervalMs)
                 break;
             openOccurrence(job, next);
+            noteTasksToStart(id);
             m_needsPlacement = true;
         }
     }
@@ -234,7 +236,9 @@
     job.ended = now;
     m_active.erase(job.spec.id);
     m_recurring.erase(job.spec.id);
-    m_pools[job.spec.queue.pool].jobs.erase(job.spec.id);
+    PoolState &pool = m_pools[job.spec.queue.pool];
+    pool.jobs.erase(job.spec.id);
+    pool.startable.erase(job.spec.id);
     m_tickets.removeJob(job.spec.id);
     stopJob(job, now);
     markDirty(job);
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -45,6 +45,7 @@
     if (task->mayRunOnUnsyncedWorker)
         m_nextPossibleCount = {}; // an earlier owner may have started it again
     --findStep(run.task)->placedTasks;
+    noteTasksToStart(run.task.job);
     m_needsPlacement = true;
 }
 
--- a/src/scheduling/schedulerindexes.cpp
+++ b/src/scheduling/schedulerindexes.cpp
@@ -7,7 +7,7 @@
 
 bool Scheduler::areIndexesConsistent() const
 {
-    return isEndedIndexConsistent();
+    return isEndedIndexConsistent() && isStartableIndexConsistent();
 }
 
 bool Scheduler::isEndedIndexConsistent() const
@@ -28,4 +28,28 @@
     return listed == m_ended.size() + m_due.size();
 }
 
+/// A job without tasks to start may be listed until the next ranking.
+bool Scheduler::isStartableIndexConsistent() const
+{
+    std::size_t listed = 0;
+    for (const JobId id : m_active) {
+        const TrackedJob &job = m_jobs.at(id);
+        const auto pool = m_pools.find(job.spec.queue.pool);
+        if (pool == m_pools.end())
+            return false;
+        const bool isListed = pool->second.startable.contains(id);
+        listed += isListed ? 1 : 0;
+        for (const Occurrence &occurrence : job.occurrences) {
+            for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
+                if (!isListed && hasTasksToStart(job, occurrence, step))
+                    return false;
+            }
+        }
+    }
+    std::size_t indexed = 0;
+    for (const auto &[id, pool] : m_pools)
+        indexed += pool.startable.size();
+    return listed == indexed;
+}
+
 } // namespace oleanderhall
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -130,35 +130,51 @@
     if (found == m_jobs.end() || isFinal(found->second.state))
         return false;
     const TrackedJob &job = found->second;
-    const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(candidate.occurrence)];
-    const TrackedStep &step = occurrence.steps[static_cast<std::size_t>(candidate.step)];
-    return step.doneTasks + step.placedTasks < static_cast<int>(step.tasks.size())
-        && areDependenciesDone(job, occurrence, candidate.step);
+    return hasTasksToStart(job, job.occurrences[static_cast<std::size_t>(candidate.occurrence)],
+                           candidate.step);
+}
+
+bool Scheduler::hasTasksToStart(const TrackedJob &job, const Occurrence &occurrence, int step) const
+{
+    const TrackedStep &tracked = occurrence.steps[static_cast<std::size_t>(step)];
+    return tracked.doneTasks + tracked.placedTasks < static_cast<int>(tracked.tasks.size())
+        && areDependenciesDone(job, occurrence, step);
+}
+
+/// Records that the job may have tasks to start since its last ranking.
+void Scheduler::noteTasksToStart(JobId id)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && !isFinal(found->second.state))
+        m_pools[found->second.spec.queue.pool].startable.insert(id);
 }
 
 /// Orders the steps of the pool with tasks to start.
 void Scheduler::rankSteps(PoolState &pool, Instant now)
 {
     pool.ranked.clear();
-    for (const JobId id : pool.jobs) {
+    std::erase_if(pool.startable, [&](JobId id) {
         const TrackedJob &job = m_jobs.at(id);
+        bool isStartable = false;
         for (int number = 0; number < static_cast<int>(job.occurrences.size()); ++number) {
             const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(number)];
             std::optional<StepStanding> standing; // the same for all steps
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
-                const StepPosition candidate{.job = id, .occurrence = number, .step = step};
-                if (!hasTasksToStart(candidate))
+                if (!hasTasksToStart(job, occurrence, step))
                     continue;
+                isStartable = true;
                 if (!standing)
                     standing = stepStandingOf(job, occurrence, now);
                 const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
                 standing->need = spec.isGang ? times(spec.need, spec.count) : spec.need;
                 if (spec.usesIdleCores)
                     standing->need.milliCores = 0;
-                pool.ranked.add(job.spec.team, *standing, candidate);
+                pool.ranked.add(job.spec.team, *standing,
+                                {.job = id, .occurrence = number, .step = step});
             }
         }
-    }
+        return !isStartable;
+    });
     pool.ranked.sort();
 }
 
@@ -166,11 +182,14 @@
 {
     for (auto &[id, pool] : m_pools) {
         pool.jobs.clear();
+        pool.startable.clear();
         pool.ranked.clear();
         pool.nextRanking = {};
     }
-    for (const JobId id : m_active)
+    for (const JobId id : m_active) {
         m_pools[m_jobs.at(id).spec.queue.pool].jobs.insert(id);
+        noteTasksToStart(id);
+    }
 }
 
 void Scheduler::groupWorkersByPool()
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -194,6 +194,8 @@
         }
         worker.lastFailedJob = {};
         worker.timesAvoided = 0;
+        if (step.isComplete())
+            noteTasksToStart(job.spec.id); // of the steps that depend on it
         m_needsPlacement = true;
         markDirty(job);
         finishIfComplete(job, now);
