--- a/include/oleanderhall/scheduling/workerspeed.h
+++ b/include/oleanderhall/scheduling/workerspeed.h
@@ -14,6 +14,8 @@
     void observe(double ratio, Instant now);
     /// Returns the estimate; 1 is as expected, 5 is five times slower.
     double slowness(Instant now) const;
+    /// Returns false if slowness() is at most `limit` at any time until the next observation.
+    bool mayExceed(double limit) const { return 1 + m_excess > limit; }
 
 private:
     double m_excess = 0; ///< The slowness above 1 when it was updated.
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -446,6 +446,10 @@
     const PoolState &pool = m_pools[job.spec.queue.pool];
     const bool isReservedFor = pool.reservation.position
         == StepPosition{job.spec.id, static_cast<int>(&occurrence - job.occurrences.data()), step};
+    const bool isSpread = spec.isLongRunning && spec.maxDisrupted >= 0;
+    const bool isServing = spec.latencyTarget.count() > 0;
+    // For other steps, the score does not depend on which runs the worker has.
+    const bool needsRuns = spec.maxPerWorker > 0 || isSpread || spec.usesIdleCores || isServing;
     for (WorkerState *candidate : pool.workers) {
         WorkerState &worker = *candidate;
         const WorkerId id = worker.info.id;
@@ -461,7 +465,8 @@
         int sameStep = 0;
         int serving = 0;
         int onIdleCores = 0;
-        for (const WorkerRun &run : worker.runs) {
+        for (std::size_t index = 0; needsRuns && index < worker.runs.size(); ++index) {
+            const WorkerRun &run = worker.runs[index];
             if (run.task.job == job.spec.id && run.task.occurrence == occurrence.number
                 && run.task.step == step)
                 ++sameStep;
@@ -480,14 +485,14 @@
             score += kDataRackBonus;
         if (spec.isLongRunning && m_awaitingMaintenance.contains(id))
             score -= kMaintenancePenalty;
-        if (spec.isLongRunning && spec.maxDisrupted >= 0)
+        if (isSpread)
             score -= kSameStepPenalty * std::max(0, sameStep - 1);
         const auto capacity = static_cast<double>(
             std::max<std::int64_t>(worker.info.capacity.milliCores, 1));
         const double free = static_cast<double>(worker.freeCapacity().milliCores) / capacity;
         if (spec.usesIdleCores)
             score += kFreeShareWeight * free - kMixedLoadPenalty * serving;
-        else if (spec.latencyTarget.count() > 0)
+        else if (isServing)
             score += kFreeShareWeight * free - kMixedLoadPenalty * onIdleCores;
         else
             score += (worker.runs.empty() ? 0 : kInUseBonus) - kFreeShareWeight * free;
--- a/src/scheduling/schedulerspeed.cpp
+++ b/src/scheduling/schedulerspeed.cpp
@@ -24,6 +24,8 @@
 
 double Scheduler::slownessPenalty(const WorkerState &worker, Instant now)
 {
+    if (!worker.speed.mayExceed(kTolerance))
+        return 0;
     return kSlownessPenalty * std::max(0.0, worker.speed.slowness(now) - kTolerance);
 }
 
