--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -151,6 +151,8 @@
         StepQueues ranked; ///< As of the last ranking; steps without tasks are removed.
         Instant nextRanking;
         Instant nextCopies; ///< When to look for stragglers again.
+        /// isSynced() of the pool in the present placement, during which it doesn't change.
+        std::optional<bool> isSynced;
     };
 
     /// Where a worker ran when this owner took over.
@@ -262,7 +264,7 @@
     void noteBegun(const TaskId &task);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
-    bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now) const;
+    bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now);
 
     // Copies of stragglers.
     static bool allowsCopies(const StepSpec &spec);
@@ -287,7 +289,7 @@
     bool isCertainlyReady(const WorkerState &worker, const WorkerRun &run, Instant now) const;
     StepPresence presenceOf(const TaskId &id, WorkerId here, Instant now) const;
     bool areDependenciesDone(const TrackedJob &job, const Occurrence &occurrence, int step) const;
-    bool mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const;
+    bool mayStart(const TrackedJob &job, const TrackedTask &task, Instant now);
     JobRankInputs rankInputsOf(const TrackedJob &job, const Occurrence &occurrence,
                                Instant now) const;
     /// Without `occurrence`, the following functions return the figures of the whole job.
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -65,17 +65,20 @@
     });
 }
 
-bool Scheduler::mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const
+bool Scheduler::mayStart(const TrackedJob &job, const TrackedTask &task, Instant now)
 {
     return !task.isDone && !task.isPlaced && areEarlierRunsKnown(job, task, now);
 }
 
 /// Returns whether no run that an earlier owner may have started is unknown to this owner.
-bool Scheduler::areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task,
-                                    Instant now) const
+bool Scheduler::areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now)
 {
-    return !task.mayRunOnUnsyncedWorker || now - m_termStart >= m_settings.inheritedTaskDelay
-        || isSynced(job.spec.queue.pool);
+    if (!task.mayRunOnUnsyncedWorker || now - m_termStart >= m_settings.inheritedTaskDelay)
+        return true;
+    std::optional<bool> &isPoolSynced = m_pools[job.spec.queue.pool].isSynced;
+    if (!isPoolSynced)
+        isPoolSynced = isSynced(job.spec.queue.pool);
+    return *isPoolSynced;
 }
 
 Millis Scheduler::remainingCriticalPath(const TrackedJob &job, const Occurrence *occurrence) const
@@ -215,7 +218,8 @@
     // Starts with the pool after the one where the start window was full last time, so that every
     // pool gets its share of the start commands.
     std::vector<PoolId> pools;
-    for (const auto &[id, pool] : m_pools) {
+    for (auto &[id, pool] : m_pools) {
+        pool.isSynced.reset();
         if (!pool.jobs.empty())
             pools.push_back(id);
     }
