--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -36,27 +36,31 @@
         m_needsPlacement = true;
     }
     worker.statusSent = std::max(worker.statusSent, sent);
-    std::set<std::pair<TaskId, std::int64_t>> present;
-    for (const ActiveRun &reported : status.running)
-        present.emplace(reported.task, reported.run);
     for (const EndedRun &ended : status.ended)
         handleEndedRun(worker, ended, now);
     for (const ActiveRun &reported : status.running)
         handleActiveRun(worker, reported, now);
+    const auto isReported = [&](const WorkerRun &run) {
+        return std::any_of(status.running.begin(), status.running.end(),
+                           [&](const ActiveRun &reported) {
+                               return reported.task == run.task && reported.run == run.run;
+                           });
+    };
     const bool isComplete = status.ended.size() < kMaxEndsPerStatus
         && !status.hasUnreadableActiveRuns;
     for (std::size_t index = 0; isComplete && index < worker.runs.size();) {
-        const WorkerRun run = worker.runs[index];
-        const bool isGone = !present.contains({run.task, run.run})
-            && ((run.phase == WorkerRun::Phase::Running && run.runningSince < sent)
-                || (run.phase == WorkerRun::Phase::Stopping && run.isStopConfirmed
-                    && run.stopConfirmedAt < sent));
+        const WorkerRun &run = worker.runs[index];
+        const bool isGone = ((run.phase == WorkerRun::Phase::Running && run.runningSince < sent)
+                             || (run.phase == WorkerRun::Phase::Stopping && run.isStopConfirmed
+                                 && run.stopConfirmedAt < sent))
+            && !isReported(run);
         if (!isGone) {
             ++index;
             continue;
         }
+        const WorkerRun ended = run;
         removeRun(worker, index);
-        unplace(run, now);
+        unplace(ended, now);
     }
     for (WorkerRun &run : worker.runs)
         noteOverdueRun(worker, run, now);
@@ -71,8 +75,11 @@
 
 void Scheduler::handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now)
 {
-    noteBegun(reported.task);
-    if (WorkerRun *known = findRun(worker, reported.task, reported.run)) {
+    WorkerRun *known = findRun(worker, reported.task, reported.run);
+    // The job of a run that isn't being stopped was known when its run was reported first.
+    if (!known || !known->isReported || known->phase == WorkerRun::Phase::Stopping)
+        noteBegun(reported.task);
+    if (known) {
         if (known->phase == WorkerRun::Phase::Starting) {
             known->phase = WorkerRun::Phase::Running;
             known->runningSince = now;
