--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -138,6 +138,17 @@
 private:
     using StepQueues = TeamQueues<WeightedFairShare, StepPosition>;
 
+    /// A worker that takes new tasks, with what chooseWorker() compares, next to that of others in
+    /// memory.
+    struct PlacementCandidate
+    {
+        WorkerState *worker = nullptr;
+        Resources free;
+        double freeShare = 0; ///< Of its cores.
+        double slownessPenalty = 0;
+        bool hasRuns = false;
+    };
+
     /// The active jobs of a pool and its workers.
     struct PoolState
     {
@@ -153,6 +164,8 @@
         Instant nextCopies; ///< When to look for stragglers again.
         /// isSynced() of the pool in the present placement, during which it doesn't change.
         std::optional<bool> isSynced;
+        /// In the order of `workers`; as of the present placement.
+        std::optional<std::vector<PlacementCandidate>> candidates;
     };
 
     /// Where a worker ran when this owner took over.
@@ -258,6 +271,8 @@
                    std::vector<SchedulerAction> &out);
     WorkerState *chooseWorker(const TrackedJob &job, const Occurrence &occurrence, int step,
                               const TrackedTask &task, Instant now);
+    static PlacementCandidate candidateOf(WorkerState &worker, Instant now);
+    void updateCandidate(WorkerState &worker, Instant now);
     void startRun(WorkerState &worker, TrackedJob &job, const TaskId &id, std::int64_t number,
                   Instant now, std::vector<SchedulerAction> &out);
     void noteStarted(TrackedJob &job, Instant now);
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -199,6 +199,7 @@
 {
     for (auto &[id, pool] : m_pools) {
         pool.workers.clear();
+        pool.candidates.reset();
         pool.capacity = {};
     }
     for (auto &[id, worker] : m_workers) {
@@ -220,6 +221,7 @@
     std::vector<PoolId> pools;
     for (auto &[id, pool] : m_pools) {
         pool.isSynced.reset();
+        pool.candidates.reset();
         if (!pool.jobs.empty())
             pools.push_back(id);
     }
@@ -422,6 +424,7 @@
                 WorkerRun *placed = findRun(holder, start.task, start.run);
                 const WorkerRun ended = *placed;
                 removeRun(holder, static_cast<std::size_t>(placed - holder.runs.data()));
+                updateCandidate(holder, now);
                 unplace(ended, now);
                 m_startWindow.onWithdrawn();
             }
@@ -436,6 +439,30 @@
     std::move(starts.begin(), starts.end(), std::back_inserter(out));
 }
 
+Scheduler::PlacementCandidate Scheduler::candidateOf(WorkerState &worker, Instant now)
+{
+    const Resources free = worker.freeCapacity();
+    const auto capacity = static_cast<double>(
+        std::max<std::int64_t>(worker.info.capacity.milliCores, 1));
+    return {.worker = &worker,
+            .free = free,
+            .freeShare = static_cast<double>(free.milliCores) / capacity,
+            .slownessPenalty = slownessPenalty(worker, now),
+            .hasRuns = !worker.runs.empty()};
+}
+
+/// Updates what chooseWorker() knows of the worker after a change of its runs in a placement.
+void Scheduler::updateCandidate(WorkerState &worker, Instant now)
+{
+    PoolState &pool = m_pools[worker.info.pool];
+    if (!pool.candidates)
+        return;
+    for (PlacementCandidate &candidate : *pool.candidates) {
+        if (candidate.worker == &worker)
+            candidate = candidateOf(worker, now);
+    }
+}
+
 WorkerState *Scheduler::chooseWorker(const TrackedJob &job, const Occurrence &occurrence, int step,
                                      const TrackedTask &task, Instant now)
 {
@@ -447,20 +474,28 @@
         need.milliCores = 0;
     WorkerState *best = nullptr;
     double bestScore = 0;
-    const PoolState &pool = m_pools[job.spec.queue.pool];
+    PoolState &pool = m_pools[job.spec.queue.pool];
+    if (!pool.candidates) {
+        pool.candidates.emplace();
+        for (WorkerState *worker : pool.workers) {
+            if (worker->acceptsNewTasks(now))
+                pool.candidates->push_back(candidateOf(*worker, now));
+        }
+    }
     const bool isReservedFor = pool.reservation.position
         == StepPosition{job.spec.id, static_cast<int>(&occurrence - job.occurrences.data()), step};
     const bool isSpread = spec.isLongRunning && spec.maxDisrupted >= 0;
     const bool isServing = spec.latencyTarget.count() > 0;
     // For other steps, the score does not depend on which runs the worker has.
     const bool needsRuns = spec.maxPerWorker > 0 || isSpread || spec.usesIdleCores || isServing;
-    for (WorkerState *candidate : pool.workers) {
-        WorkerState &worker = *candidate;
+    for (const PlacementCandidate &candidate : *pool.candidates) {
+        if (!need.fitsInto(candidate.free))
+            continue;
+        WorkerState &worker = *candidate.worker;
         const WorkerId id = worker.info.id;
         if (!isReservedFor && pool.reservation.workers.contains(id))
             continue;
-        if (!worker.acceptsNewTasks(now) || !need.fitsInto(worker.freeCapacity())
-            || (task.isPlaced && id == task.worker) // a copy runs elsewhere
+        if ((task.isPlaced && id == task.worker) // a copy runs elsewhere
             || (!spec.requiredLabel.empty() && !worker.info.hasLabel(spec.requiredLabel)))
             continue;
         if (job.spec.queue.advice
@@ -484,22 +519,19 @@
         double score = 0;
         if (std::find(task.failedOn.begin(), task.failedOn.end(), id) != task.failedOn.end())
             score -= kFailedHerePenalty;
-        score -= slownessPenalty(worker, now);
+        score -= candidate.slownessPenalty;
         if (!spec.dataRack.empty() && worker.info.hasLabel(spec.dataRack))
             score += kDataRackBonus;
         if (spec.isLongRunning && m_awaitingMaintenance.contains(id))
             score -= kMaintenancePenalty;
         if (isSpread)
             score -= kSameStepPenalty * std::max(0, sameStep - 1);
-        const auto capacity = static_cast<double>(
-            std::max<std::int64_t>(worker.info.capacity.milliCores, 1));
-        const double free = static_cast<double>(worker.freeCapacity().milliCores) / capacity;
         if (spec.usesIdleCores)
-            score += kFreeShareWeight * free - kMixedLoadPenalty * serving;
+            score += kFreeShareWeight * candidate.freeShare - kMixedLoadPenalty * serving;
         else if (isServing)
-            score += kFreeShareWeight * free - kMixedLoadPenalty * onIdleCores;
+            score += kFreeShareWeight * candidate.freeShare - kMixedLoadPenalty * onIdleCores;
         else
-            score += (worker.runs.empty() ? 0 : kInUseBonus) - kFreeShareWeight * free;
+            score += (candidate.hasRuns ? kInUseBonus : 0) - kFreeShareWeight * candidate.freeShare;
         if (!best || score > bestScore) {
             best = &worker;
             bestScore = score;
@@ -542,6 +574,7 @@
     if (worker.runs.empty())
         worker.nextPoll = std::max(worker.nextPoll, now + m_settings.pollSpacing);
     addRun(worker, std::move(run));
+    updateCandidate(worker, now);
     if (!spec.isGang) // whose other tasks may not fit
         noteStarted(job, now);
     out.emplace_back(makeStartCommand(worker, job, worker.runs.back(), now));
