--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -197,6 +197,8 @@
     void avoid(WorkerState &worker, const char *reason, Instant now);
     void dropAllRuns(WorkerState &worker, const char *reason, Instant now);
     void addRun(WorkerState &worker, WorkerRun run);
+    void removeHolder(JobId job, WorkerState &worker);
+    std::vector<WorkerState *> holdersOf(JobId job) const;
     void removeRun(WorkerState &worker, std::size_t index);
     void unplace(const WorkerRun &run, Instant now);
     WorkerRun *findRun(WorkerState &worker, const TaskId &task, std::int64_t run);
@@ -232,6 +234,7 @@
     void indexEnded(const TrackedJob &job);
     bool isEndedIndexConsistent() const;
     bool isStartableIndexConsistent() const;
+    bool isHolderIndexConsistent() const;
 
     // Teams.
     void addUsage(PoolId pool, const WorkerRun &run);
@@ -320,6 +323,8 @@
     std::map<std::string, QueueConfig> m_queues;
     std::map<WorkerId, WorkerState> m_workers;
     std::map<JobId, TrackedJob> m_jobs;
+    /// The workers with runs of each job, once for each run, in any order.
+    std::map<JobId, std::vector<WorkerState *>> m_holders;
     std::set<JobId> m_active; ///< Jobs that have not ended.
     std::set<JobId> m_recurring; ///< Those of them that run at several times.
     std::map<PoolId, PoolState> m_pools;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -257,8 +257,8 @@
 
 void Scheduler::stopJob(TrackedJob &job, Instant now)
 {
-    for (auto &[id, worker] : m_workers) {
-        for (WorkerRun &run : worker.runs) {
+    for (WorkerState *worker : holdersOf(job.spec.id)) {
+        for (WorkerRun &run : worker->runs) {
             if (run.task.job == job.spec.id)
                 requestStop(run, now);
         }
--- a/src/scheduling/schedulercopies.cpp
+++ b/src/scheduling/schedulercopies.cpp
@@ -220,16 +220,16 @@
 {
     if (!task.isPlaced)
         return;
-    for (auto &[workerId, worker] : m_workers) {
-        for (WorkerRun &run : worker.runs) {
+    for (WorkerState *worker : holdersOf(id.job)) {
+        for (WorkerRun &run : worker->runs) {
             if (run.task != id || run.phase == WorkerRun::Phase::Stopping)
                 continue;
-            noteOverdueRun(worker, run, now);
+            noteOverdueRun(*worker, run, now);
             requestStop(run, now);
             logDecision({"other_run_stopped",
                          {{"task", textOf(id)},
                           {"run", std::to_string(run.run)},
-                          {"worker", workerId.name()},
+                          {"worker", worker->info.id.name()},
                           {"copy", run.isCopy ? "true" : "false"}}});
         }
     }
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -53,6 +53,7 @@
 {
     worker.used += run.reservation;
     addUsage(worker.info.pool, run);
+    m_holders[run.task.job].push_back(&worker);
     worker.runs.push_back(std::move(run));
 }
 
@@ -60,10 +61,35 @@
 {
     worker.used -= worker.runs[index].reservation;
     removeUsage(worker.info.pool, worker.runs[index]);
+    removeHolder(worker.runs[index].task.job, worker);
     worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(index));
     m_needsPlacement = true;
 }
 
+/// Removes one of the job's runs on the worker from the index.
+void Scheduler::removeHolder(JobId job, WorkerState &worker)
+{
+    const auto found = m_holders.find(job);
+    std::vector<WorkerState *> &holders = found->second;
+    *std::find(holders.begin(), holders.end(), &worker) = holders.back();
+    holders.pop_back();
+    if (holders.empty())
+        m_holders.erase(found);
+}
+
+/// Returns the workers with runs of the job, in the order of their ids.
+std::vector<WorkerState *> Scheduler::holdersOf(JobId job) const
+{
+    const auto found = m_holders.find(job);
+    if (found == m_holders.end())
+        return {};
+    std::vector<WorkerState *> holders = found->second;
+    std::sort(holders.begin(), holders.end(),
+              [](const WorkerState *a, const WorkerState *b) { return a->info.id < b->info.id; });
+    holders.erase(std::unique(holders.begin(), holders.end()), holders.end());
+    return holders;
+}
+
 void Scheduler::requestStop(WorkerRun &run, Instant now)
 {
     if (run.phase == WorkerRun::Phase::Stopping)
@@ -85,6 +111,7 @@
         if (TrackedTask *task = findTask(run.task); task && !run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
         removeUsage(worker.info.pool, run);
+        removeHolder(run.task.job, worker);
         unplace(run, now);
     }
     worker.runs.clear();
--- a/src/scheduling/schedulerindexes.cpp
+++ b/src/scheduling/schedulerindexes.cpp
@@ -7,7 +7,7 @@
 
 bool Scheduler::areIndexesConsistent() const
 {
-    return isEndedIndexConsistent() && isStartableIndexConsistent();
+    return isEndedIndexConsistent() && isStartableIndexConsistent() && isHolderIndexConsistent();
 }
 
 bool Scheduler::isEndedIndexConsistent() const
@@ -52,4 +52,19 @@
     return listed == indexed;
 }
 
+bool Scheduler::isHolderIndexConsistent() const
+{
+    std::map<JobId, std::vector<const WorkerState *>> expected;
+    for (const auto &[id, worker] : m_workers) {
+        for (const WorkerRun &run : worker.runs)
+            expected[run.task.job].push_back(&worker);
+    }
+    return std::equal(expected.begin(), expected.end(), m_holders.begin(), m_holders.end(),
+                      [](const auto &a, const auto &b) {
+                          return a.first == b.first
+                              && std::is_permutation(a.second.begin(), a.second.end(),
+                                                     b.second.begin(), b.second.end());
+                      });
+}
+
 } // namespace oleanderhall
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -185,8 +185,8 @@
             }
         }
         if (spec.isGang && task->isPlaced) {
-            for (auto &[id, other] : m_workers) {
-                for (WorkerRun &run : other.runs) {
+            for (WorkerState *other : holdersOf(ended.task.job)) {
+                for (WorkerRun &run : other->runs) {
                     if (run.task == ended.task)
                         requestStop(run, now);
                 }
