--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -132,14 +132,28 @@
     bool isSynced(PoolId pool) const;
     /// Returns the same for all pools.
     bool isSynced() const;
+    /// Returns whether each index equals what a search of all jobs and workers finds. For tests.
+    bool areIndexesConsistent() const;
 
 private:
     using StepQueues = TeamQueues<WeightedFairShare, StepPosition>;
 
+    /// A worker that takes new tasks, with what chooseWorker() compares, next to that of others in
+    /// memory.
+    struct PlacementCandidate
+    {
+        WorkerState *worker = nullptr;
+        Resources free;
+        double freeShare = 0; ///< Of its cores.
+        double slownessPenalty = 0;
+        bool hasRuns = false;
+    };
+
     /// The active jobs of a pool and its workers.
     struct PoolState
     {
         std::set<JobId> jobs;
+        std::set<JobId> startable; ///< Contains each of them that has tasks to start.
         std::vector<WorkerState *> workers;
         Resources capacity; ///< Of the workers.
         Resources largestWorker; ///< The highest amount of each resource on one of them.
@@ -150,6 +164,10 @@
         StepQueues ranked; ///< As of the last ranking; steps without tasks are removed.
         Instant nextRanking;
         Instant nextCopies; ///< When to look for stragglers again.
+        /// isSynced() of the pool in the present placement, during which it doesn't change.
+        std::optional<bool> isSynced;
+        /// In the order of `workers`; as of the present placement.
+        std::optional<std::vector<PlacementCandidate>> candidates;
     };
 
     /// Where a worker ran when this owner took over.
@@ -182,6 +200,8 @@
     void avoid(WorkerState &worker, const char *reason, Instant now);
     void dropAllRuns(WorkerState &worker, const char *reason, Instant now);
     void addRun(WorkerState &worker, WorkerRun run);
+    void removeHolder(JobId job, WorkerState &worker);
+    std::vector<WorkerState *> holdersOf(JobId job) const;
     void removeRun(WorkerState &worker, std::size_t index);
     void unplace(const WorkerRun &run, Instant now);
     WorkerRun *findRun(WorkerState &worker, const TaskId &task, std::int64_t run);
@@ -228,6 +248,10 @@
     void sendPoll(WorkerState &worker, Instant now, std::vector<SchedulerAction> &out);
     void writeProgress(Instant now, std::vector<SchedulerAction> &out);
     void expireOldJobs(Instant now);
+    void indexEnded(const TrackedJob &job);
+    bool isEndedIndexConsistent() const;
+    bool isStartableIndexConsistent() const;
+    bool isHolderIndexConsistent() const;
 
     // Teams.
     void addUsage(PoolId pool, const WorkerRun &run);
@@ -253,6 +277,8 @@
     void placePool(PoolId id, PoolState &pool, Instant now, std::vector<SchedulerAction> &out);
     void rankSteps(PoolState &pool, Instant now);
     bool hasTasksToStart(const StepPosition &candidate) const;
+    bool hasTasksToStart(const TrackedJob &job, const Occurrence &occurrence, int step) const;
+    void noteTasksToStart(JobId id);
     void groupWorkersByPool();
     void groupJobsByPool();
     bool placeStep(PoolState &pool, const StepPosition &candidate, Instant now,
@@ -265,6 +291,8 @@
                    std::vector<SchedulerAction> &out);
     WorkerState *chooseWorker(const TrackedJob &job, const Occurrence &occurrence, int step,
                               const TrackedTask &task, Instant now);
+    static PlacementCandidate candidateOf(WorkerState &worker, Instant now);
+    void updateCandidate(WorkerState &worker, Instant now);
     void startRun(WorkerState &worker, TrackedJob &job, const TaskId &id, std::int64_t number,
                   Instant now, std::vector<SchedulerAction> &out);
     void noteStarted(TrackedJob &job, Instant now);
@@ -272,7 +300,7 @@
     void noteNotStarted(const TaskId &task);
     StartCommand makeStartCommand(WorkerState &worker, const TrackedJob &job, const WorkerRun &run,
                                   Instant now);
-    bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now) const;
+    bool areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now);
 
     // Copies of stragglers.
     static bool allowsCopies(const StepSpec &spec);
@@ -297,7 +325,7 @@
     bool isCertainlyReady(const WorkerState &worker, const WorkerRun &run, Instant now) const;
     StepPresence presenceOf(const TaskId &id, WorkerId here, Instant now) const;
     bool areDependenciesDone(const TrackedJob &job, const Occurrence &occurrence, int step) const;
-    bool mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const;
+    bool mayStart(const TrackedJob &job, const TrackedTask &task, Instant now);
     JobRankInputs rankInputsOf(const TrackedJob &job, const Occurrence &occurrence,
                                Instant now) const;
     /// Without `occurrence`, the following functions return the figures of the whole job.
@@ -313,6 +341,8 @@
     std::map<std::string, QueueConfig> m_queues;
     std::map<WorkerId, WorkerState> m_workers;
     std::map<JobId, TrackedJob> m_jobs;
+    /// The workers with runs of each job, once for each run, in any order.
+    std::map<JobId, std::vector<WorkerState *>> m_holders;
     std::set<JobId> m_active; ///< Jobs that have not ended.
     std::set<JobId> m_recurring; ///< Those of them that run at several times.
     std::map<PoolId, PoolState> m_pools;
@@ -341,6 +371,9 @@
     TicketCache m_tickets;
     std::set<JobId> m_dirty; ///< Jobs with progress to be recorded.
     JobId m_firstDirty; ///< The next write begins with this job, so that none waits forever.
+    /// Ended jobs whose progress is recorded, by the time of their end.
+    std::set<std::pair<Instant, JobId>> m_ended;
+    std::set<JobId> m_due; ///< Those of them whose records are due to be deleted.
     std::vector<JobId> m_expiredJobs; ///< Ended jobs whose records are to be deleted.
     std::uint64_t m_batch = 0; ///< The number of the last write.
     std::optional<std::uint64_t> m_batchInFlight;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -113,10 +113,12 @@
     }
     if (isFinal(job.state)) {
         job.ended = accepted;
+        indexEnded(job);
         return;
     }
     m_active.insert(id);
     m_pools[job.spec.queue.pool].jobs.insert(id);
+    noteTasksToStart(id);
     if (job.spec.occurrences > 0)
         m_recurring.insert(id);
     if (job.spec.occurrences == 0) {
@@ -181,6 +183,7 @@
             if (wallClockMs < job.spec.firstDueMs + next * job.spec.intervalMs)
                 break;
             openOccurrence(job, next);
+            noteTasksToStart(id);
             m_needsPlacement = true;
         }
     }
@@ -242,7 +245,9 @@
     job.ended = now;
     m_active.erase(job.spec.id);
     m_recurring.erase(job.spec.id);
-    m_pools[job.spec.queue.pool].jobs.erase(job.spec.id);
+    PoolState &pool = m_pools[job.spec.queue.pool];
+    pool.jobs.erase(job.spec.id);
+    pool.startable.erase(job.spec.id);
     m_tickets.removeJob(job.spec.id);
     stopJob(job, now);
     markDirty(job);
@@ -261,8 +266,8 @@
 
 void Scheduler::stopJob(TrackedJob &job, Instant now)
 {
-    for (auto &[id, worker] : m_workers) {
-        for (WorkerRun &run : worker.runs) {
+    for (WorkerState *worker : holdersOf(job.spec.id)) {
+        for (WorkerRun &run : worker->runs) {
             if (run.task.job == job.spec.id)
                 requestStop(run, now);
         }
@@ -287,6 +292,7 @@
 {
     job.isDirty = true;
     job.isRecorded = false;
+    indexEnded(job);
     m_dirty.insert(job.spec.id);
 }
 
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -129,7 +129,8 @@
     std::set<JobId> jobs;
     for (const TaskId &id : m_suspectTasks) {
         const TrackedTask &task = *findTask(id);
-        if (!task.isPlaced && isIsolated(task, now) && m_jobs.at(id.job).spec.queue.pool == pool)
+        const bool isWaiting = !task.isPlaced && task.isolationBegin != Instant{};
+        if (isWaiting && isIsolated(task, now) && m_jobs.at(id.job).spec.queue.pool == pool)
             jobs.insert(id.job);
     }
     return jobs;
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -47,6 +47,7 @@
     if (task->mayRunOnUnsyncedWorker)
         m_nextPossibleCount = {}; // an earlier owner may have started it again
     --findStep(run.task)->placedTasks;
+    noteTasksToStart(run.task.job);
     m_needsPlacement = true;
 }
 
@@ -55,6 +56,7 @@
     worker.used += run.reservation;
     worker.runsOfUnknownNeed += run.isNeedUnknown ? 1 : 0;
     addUsage(worker.info.pool, run);
+    m_holders[run.task.job].push_back(&worker);
     worker.runs.push_back(std::move(run));
 }
 
@@ -63,10 +65,35 @@
     worker.used -= worker.runs[index].reservation;
     worker.runsOfUnknownNeed -= worker.runs[index].isNeedUnknown ? 1 : 0;
     removeUsage(worker.info.pool, worker.runs[index]);
+    removeHolder(worker.runs[index].task.job, worker);
     worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(index));
     m_needsPlacement = true;
 }
 
+/// Removes one of the job's runs on the worker from the index.
+void Scheduler::removeHolder(JobId job, WorkerState &worker)
+{
+    const auto found = m_holders.find(job);
+    std::vector<WorkerState *> &holders = found->second;
+    *std::find(holders.begin(), holders.end(), &worker) = holders.back();
+    holders.pop_back();
+    if (holders.empty())
+        m_holders.erase(found);
+}
+
+/// Returns the workers with runs of the job, in the order of their ids.
+std::vector<WorkerState *> Scheduler::holdersOf(JobId job) const
+{
+    const auto found = m_holders.find(job);
+    if (found == m_holders.end())
+        return {};
+    std::vector<WorkerState *> holders = found->second;
+    std::sort(holders.begin(), holders.end(),
+              [](const WorkerState *a, const WorkerState *b) { return a->info.id < b->info.id; });
+    holders.erase(std::unique(holders.begin(), holders.end()), holders.end());
+    return holders;
+}
+
 void Scheduler::requestStop(WorkerRun &run, Instant now)
 {
     if (run.phase == WorkerRun::Phase::Stopping)
@@ -88,6 +115,7 @@
         if (TrackedTask *task = findTask(run.task); task && !run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
         removeUsage(worker.info.pool, run);
+        removeHolder(run.task.job, worker);
         unplace(run, now);
     }
     worker.runs.clear();
@@ -332,8 +360,10 @@
         found->second.isReleaseRecorded = found->second.isReleaseRecorded
             || found->second.isReleaseInBatch;
         found->second.recordedCrashes = found->second.crashesInBatch;
-        if (!found->second.isDirty)
+        if (!found->second.isDirty) {
             found->second.isRecorded = true;
+            indexEnded(found->second);
+        }
         m_needsPlacement = true;
     }
     for (const JobId id : m_batchDropped)
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -65,18 +65,21 @@
     });
 }
 
-bool Scheduler::mayStart(const TrackedJob &job, const TrackedTask &task, Instant now) const
+bool Scheduler::mayStart(const TrackedJob &job, const TrackedTask &task, Instant now)
 {
     return !task.isDone && !task.isPlaced && areEarlierRunsKnown(job, task, now)
         && areCrashesRecorded(job, task);
 }
 
 /// Returns whether no run that an earlier owner may have started is unknown to this owner.
-bool Scheduler::areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task,
-                                    Instant now) const
+bool Scheduler::areEarlierRunsKnown(const TrackedJob &job, const TrackedTask &task, Instant now)
 {
-    return !task.mayRunOnUnsyncedWorker || now - m_termStart >= m_settings.inheritedTaskDelay
-        || isSynced(job.spec.queue.pool);
+    if (!task.mayRunOnUnsyncedWorker || now - m_termStart >= m_settings.inheritedTaskDelay)
+        return true;
+    std::optional<bool> &isPoolSynced = m_pools[job.spec.queue.pool].isSynced;
+    if (!isPoolSynced)
+        isPoolSynced = isSynced(job.spec.queue.pool);
+    return *isPoolSynced;
 }
 
 Millis Scheduler::remainingCriticalPath(const TrackedJob &job, const Occurrence *occurrence) const
@@ -131,10 +134,23 @@
     if (found == m_jobs.end() || isFinal(found->second.state))
         return false;
     const TrackedJob &job = found->second;
-    const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(candidate.occurrence)];
-    const TrackedStep &step = occurrence.steps[static_cast<std::size_t>(candidate.step)];
-    return step.doneTasks + step.placedTasks < static_cast<int>(step.tasks.size())
-        && areDependenciesDone(job, occurrence, candidate.step);
+    return hasTasksToStart(job, job.occurrences[static_cast<std::size_t>(candidate.occurrence)],
+                           candidate.step);
+}
+
+bool Scheduler::hasTasksToStart(const TrackedJob &job, const Occurrence &occurrence, int step) const
+{
+    const TrackedStep &tracked = occurrence.steps[static_cast<std::size_t>(step)];
+    return tracked.doneTasks + tracked.placedTasks < static_cast<int>(tracked.tasks.size())
+        && areDependenciesDone(job, occurrence, step);
+}
+
+/// Records that the job may have tasks to start since its last ranking.
+void Scheduler::noteTasksToStart(JobId id)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && !isFinal(found->second.state))
+        m_pools[found->second.spec.queue.pool].startable.insert(id);
 }
 
 /// Orders the steps of the pool with tasks to start. Omits those that no worker is large enough
@@ -142,15 +158,16 @@
 void Scheduler::rankSteps(PoolState &pool, Instant now)
 {
     pool.ranked.clear();
-    for (const JobId id : pool.jobs) {
+    std::erase_if(pool.startable, [&](JobId id) {
         const TrackedJob &job = m_jobs.at(id);
+        bool isStartable = false;
         for (int number = 0; number < static_cast<int>(job.occurrences.size()); ++number) {
             const Occurrence &occurrence = job.occurrences[static_cast<std::size_t>(number)];
             std::optional<StepStanding> standing; // the same for all steps
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
-                const StepPosition candidate{.job = id, .occurrence = number, .step = step};
-                if (!hasTasksToStart(candidate))
+                if (!hasTasksToStart(job, occurrence, step))
                     continue;
+                isStartable = true;
                 if (!standing)
                     standing = stepStandingOf(job, occurrence, now);
                 const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
@@ -160,10 +177,12 @@
                 if (!pool.workers.empty() && !need.fitsInto(pool.largestWorker))
                     continue;
                 standing->need = spec.isGang ? times(need, spec.count) : need;
-                pool.ranked.add(job.spec.team, *standing, candidate);
+                pool.ranked.add(job.spec.team, *standing,
+                                {.job = id, .occurrence = number, .step = step});
             }
         }
-    }
+        return !isStartable;
+    });
     pool.ranked.sort();
 }
 
@@ -171,17 +190,21 @@
 {
     for (auto &[id, pool] : m_pools) {
         pool.jobs.clear();
+        pool.startable.clear();
         pool.ranked.clear();
         pool.nextRanking = {};
     }
-    for (const JobId id : m_active)
+    for (const JobId id : m_active) {
         m_pools[m_jobs.at(id).spec.queue.pool].jobs.insert(id);
+        noteTasksToStart(id);
+    }
 }
 
 void Scheduler::groupWorkersByPool()
 {
     for (auto &[id, pool] : m_pools) {
         pool.workers.clear();
+        pool.candidates.reset();
         pool.capacity = {};
         pool.largestWorker = {};
     }
@@ -203,7 +226,9 @@
     // Starts with the pool after the one where the start window was full last time, so that every
     // pool gets its share of the start commands.
     std::vector<PoolId> pools;
-    for (const auto &[id, pool] : m_pools) {
+    for (auto &[id, pool] : m_pools) {
+        pool.isSynced.reset();
+        pool.candidates.reset();
         if (!pool.jobs.empty())
             pools.push_back(id);
     }
@@ -414,6 +439,7 @@
                 WorkerRun *placed = findRun(holder, start.task, start.run);
                 const WorkerRun ended = *placed;
                 removeRun(holder, static_cast<std::size_t>(placed - holder.runs.data()));
+                updateCandidate(holder, now);
                 unplace(ended, now);
                 m_startWindow.onWithdrawn();
             }
@@ -428,6 +454,30 @@
     std::move(starts.begin(), starts.end(), std::back_inserter(out));
 }
 
+Scheduler::PlacementCandidate Scheduler::candidateOf(WorkerState &worker, Instant now)
+{
+    const Resources free = worker.freeCapacity();
+    const auto capacity = static_cast<double>(
+        std::max<std::int64_t>(worker.info.capacity.milliCores, 1));
+    return {.worker = &worker,
+            .free = free,
+            .freeShare = static_cast<double>(free.milliCores) / capacity,
+            .slownessPenalty = slownessPenalty(worker, now),
+            .hasRuns = !worker.runs.empty()};
+}
+
+/// Updates what chooseWorker() knows of the worker after a change of its runs in a placement.
+void Scheduler::updateCandidate(WorkerState &worker, Instant now)
+{
+    PoolState &pool = m_pools[worker.info.pool];
+    if (!pool.candidates)
+        return;
+    for (PlacementCandidate &candidate : *pool.candidates) {
+        if (candidate.worker == &worker)
+            candidate = candidateOf(worker, now);
+    }
+}
+
 WorkerState *Scheduler::chooseWorker(const TrackedJob &job, const Occurrence &occurrence, int step,
                                      const TrackedTask &task, Instant now)
 {
@@ -440,17 +490,29 @@
     WorkerState *best = nullptr;
     double bestScore = 0;
     const bool isAlone = isIsolated(task, now);
-    const PoolState &pool = m_pools[job.spec.queue.pool];
+    PoolState &pool = m_pools[job.spec.queue.pool];
+    if (!pool.candidates) {
+        pool.candidates.emplace();
+        for (WorkerState *worker : pool.workers) {
+            if (worker->acceptsNewTasks(now))
+                pool.candidates->push_back(candidateOf(*worker, now));
+        }
+    }
     const bool isReservedFor = pool.reservation.position
         == StepPosition{job.spec.id, static_cast<int>(&occurrence - job.occurrences.data()), step};
-    for (WorkerState *candidate : pool.workers) {
-        WorkerState &worker = *candidate;
+    const bool isSpread = spec.isLongRunning && spec.maxDisrupted >= 0;
+    const bool isServing = spec.latencyTarget.count() > 0;
+    // For other steps, the score does not depend on which runs the worker has.
+    const bool needsRuns = spec.maxPerWorker > 0 || isSpread || spec.usesIdleCores || isServing;
+    for (const PlacementCandidate &candidate : *pool.candidates) {
+        if (!need.fitsInto(candidate.free))
+            continue;
+        WorkerState &worker = *candidate.worker;
         const WorkerId id = worker.info.id;
         if ((!isReservedFor && pool.reservation.workers.contains(id))
             || (!isAlone && pool.quarantine.contains(id)))
             continue;
-        if (!worker.acceptsNewTasks(now) || !need.fitsInto(worker.freeCapacity())
-            || (task.isPlaced && id == task.worker) // a copy runs elsewhere
+        if ((task.isPlaced && id == task.worker) // a copy runs elsewhere
             || (!spec.requiredLabel.empty() && !worker.info.hasLabel(spec.requiredLabel)))
             continue;
         if (job.spec.queue.advice
@@ -459,12 +521,14 @@
         const auto isCompatible = [&](const WorkerRun &run) {
             return mayRunBeside(run, job.spec.id, isAlone);
         };
-        if (!std::all_of(worker.runs.begin(), worker.runs.end(), isCompatible))
+        if (!m_suspectTasks.empty()
+            && !std::all_of(worker.runs.begin(), worker.runs.end(), isCompatible))
             continue;
         int sameStep = 0;
         int serving = 0;
         int onIdleCores = 0;
-        for (const WorkerRun &run : worker.runs) {
+        for (std::size_t index = 0; needsRuns && index < worker.runs.size(); ++index) {
+            const WorkerRun &run = worker.runs[index];
             if (run.task.job == job.spec.id && run.task.occurrence == occurrence.number
                 && run.task.step == step)
                 ++sameStep;
@@ -478,22 +542,19 @@
         double score = 0;
         if (std::find(task.failedOn.begin(), task.failedOn.end(), id) != task.failedOn.end())
             score -= kFailedHerePenalty;
-        score -= slownessPenalty(worker, now);
+        score -= candidate.slownessPenalty;
         if (!spec.dataRack.empty() && worker.info.hasLabel(spec.dataRack))
             score += kDataRackBonus;
         if (spec.isLongRunning && m_awaitingMaintenance.contains(id))
             score -= kMaintenancePenalty;
-        if (spec.isLongRunning && spec.maxDisrupted >= 0)
+        if (isSpread)
             score -= kSameStepPenalty * std::max(0, sameStep - 1);
-        const auto capacity = static_cast<double>(
-            std::max<std::int64_t>(worker.info.capacity.milliCores, 1));
-        const double free = static_cast<double>(worker.freeCapacity().milliCores) / capacity;
         if (spec.usesIdleCores)
-            score += kFreeShareWeight * free - kMixedLoadPenalty * serving;
-        else if (spec.latencyTarget.count() > 0)
-            score += kFreeShareWeight * free - kMixedLoadPenalty * onIdleCores;
+            score += kFreeShareWeight * candidate.freeShare - kMixedLoadPenalty * serving;
+        else if (isServing)
+            score += kFreeShareWeight * candidate.freeShare - kMixedLoadPenalty * onIdleCores;
         else
-            score += (worker.runs.empty() ? 0 : kInUseBonus) - kFreeShareWeight * free;
+            score += (candidate.hasRuns ? kInUseBonus : 0) - kFreeShareWeight * candidate.freeShare;
         if (!best || score > bestScore) {
             best = &worker;
             bestScore = score;
@@ -537,6 +598,7 @@
     if (worker.runs.empty())
         worker.nextPoll = std::max(worker.nextPoll, now + m_settings.pollSpacing);
     addRun(worker, std::move(run));
+    updateCandidate(worker, now);
     if (!spec.isGang) // whose other tasks may not fit
         noteStarted(job, now);
     out.emplace_back(makeStartCommand(worker, job, worker.runs.back(), now));
