--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -21,6 +21,9 @@
 /// How long a task waits for a worker without other jobs. After that it shares one again, as a
 /// busy pool may not have any.
 constexpr Millis kMaxIsolationWait{2000};
+/// How long a run keeps its worker to itself. A task that crashes its workers mostly does so when
+/// it starts, and a longer time would leave a pool idle in which many tasks are suspected.
+constexpr Millis kMaxIsolationTime{2000};
 
 } // namespace
 
@@ -129,14 +132,18 @@
     return !isSuspected(task) || task.lastCrash <= job.recordedCrashes;
 }
 
-/// A long-running task that is ready has not crashed this worker when it started, so tasks of other
-/// jobs may start beside it.
+/// Handles that a status lists the run. A long-running task that is ready has not crashed this
+/// worker when it started. Tasks of other jobs may start beside it, and beside a run that has gone
+/// on for a while.
 void Scheduler::clearCrashes(WorkerRun &run, Instant now)
 {
-    if (!run.isLongRunning || mayCrashWorker(run))
+    const bool isReady = run.isLongRunning && !mayCrashWorker(run);
+    if (run.isIsolated && (isReady || now - run.runningSince >= kMaxIsolationTime)) {
+        run.isIsolated = false;
+        m_needsPlacement = true;
+    }
+    if (!isReady)
         return;
-    m_needsPlacement = m_needsPlacement || run.isIsolated;
-    run.isIsolated = false;
     TrackedTask *task = findTask(run.task);
     if (!task || task->crashes == 0)
         return;
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -441,3 +441,23 @@
     CHECK(std::any_of(again.begin(), again.end(),
                       [&](const StartCommand &start) { return start.task == crashing.task; }));
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_isolatedTasksRunForLong_otherJobsStartBesideThem",
+                 "[scheduling]")
+{
+    // Guards against a pool whose workers each run one small task, after crashes under many tasks.
+    submitAfterCrashes(makeJob(1, "pool", {makeStep(1, Millis(60000))}), 2);
+    submitAfterCrashes(makeJob(2, "pool", {makeStep(1, Millis(60000))}), 2);
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 2);
+    REQUIRE(starts.front().worker != starts.back().worker);
+    confirm(starts);
+    submit(makeJob(3, "pool", {makeStep(1, Millis(500))}));
+    advance(kRankingTime);
+    CHECK(tick<StartCommand>().empty());
+    advance(Millis(2500));
+    for (const StartCommand &start : starts)
+        answerPoll({.worker = start.worker},
+                   {{.task = start.task, .run = start.run, .progressPercent = 5}});
+    CHECK(tick<StartCommand>().size() == 1);
+}
