--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -22,6 +22,9 @@
 /// it starts also in a pool where no worker becomes free.
 constexpr Millis kMaxIsolationWait{5000};
 constexpr std::size_t kMaxQuarantinedShare = 4; // at most one in so many workers of a pool
+/// How long a run keeps its worker to itself. A task that crashes its workers mostly does so when
+/// it starts, and a longer time would leave a pool idle in which many tasks are suspected.
+constexpr Millis kMaxIsolationTime{2000};
 
 } // namespace
 
@@ -183,14 +186,18 @@
     return !isSuspected(task) || task.lastCrash <= job.recordedCrashes;
 }
 
-/// Ends the isolation of a long-running task that is ready: it hasn't crashed this worker when it
-/// started.
+/// Handles that a status lists the run. A long-running task that is ready has not crashed this
+/// worker when it started. Tasks of other jobs may start beside it, and beside a run that has gone
+/// on for a while.
 void Scheduler::clearCrashes(WorkerRun &run, Instant now)
 {
-    if (!run.isLongRunning || mayCrashWorker(run))
+    const bool isReady = run.isLongRunning && !mayCrashWorker(run);
+    if (run.isIsolated && (isReady || now - run.runningSince >= kMaxIsolationTime)) {
+        run.isIsolated = false;
+        m_needsPlacement = true;
+    }
+    if (!isReady)
         return;
-    m_needsPlacement = m_needsPlacement || run.isIsolated;
-    run.isIsolated = false;
     TrackedTask *task = findTask(run.task);
     if (!task || task->crashes == 0)
         return;
