--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -235,6 +235,7 @@
     bool isEndedIndexConsistent() const;
     bool isStartableIndexConsistent() const;
     bool isHolderIndexConsistent() const;
+    bool isWorkerListConsistent() const;
 
     // Teams.
     void addUsage(PoolId pool, const WorkerRun &run);
@@ -322,6 +323,7 @@
     ConfigVersion m_version;
     std::map<std::string, QueueConfig> m_queues;
     std::map<WorkerId, WorkerState> m_workers;
+    std::vector<WorkerState *> m_workerList; ///< All of `m_workers`, which is slower to visit.
     std::map<JobId, TrackedJob> m_jobs;
     /// The workers with runs of each job, once for each run, in any order.
     std::map<JobId, std::vector<WorkerState *>> m_holders;
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -336,8 +336,8 @@
                 markDirty(found->second);
         }
         m_expiredJobs.insert(m_expiredJobs.end(), m_batchDropped.begin(), m_batchDropped.end());
-        for (auto &[id, worker] : m_workers)
-            worker.lastEndInBatch = 0;
+        for (WorkerState *worker : m_workerList)
+            worker->lastEndInBatch = 0;
         return;
     }
     for (const JobId id : m_batchJobs) {
@@ -355,9 +355,9 @@
     }
     for (const JobId id : m_batchDropped)
         m_jobs.erase(id);
-    for (auto &[id, worker] : m_workers) {
-        worker.lastRecordedEnd = std::max(worker.lastRecordedEnd, worker.lastEndInBatch);
-        worker.lastEndInBatch = 0;
+    for (WorkerState *worker : m_workerList) {
+        worker->lastRecordedEnd = std::max(worker->lastRecordedEnd, worker->lastEndInBatch);
+        worker->lastEndInBatch = 0;
     }
 }
 
--- a/src/scheduling/schedulerindexes.cpp
+++ b/src/scheduling/schedulerindexes.cpp
@@ -7,7 +7,8 @@
 
 bool Scheduler::areIndexesConsistent() const
 {
-    return isEndedIndexConsistent() && isStartableIndexConsistent() && isHolderIndexConsistent();
+    return isEndedIndexConsistent() && isStartableIndexConsistent() && isHolderIndexConsistent()
+        && isWorkerListConsistent();
 }
 
 bool Scheduler::isEndedIndexConsistent() const
@@ -67,4 +68,11 @@
                       });
 }
 
+bool Scheduler::isWorkerListConsistent() const
+{
+    return std::equal(
+        m_workerList.begin(), m_workerList.end(), m_workers.begin(), m_workers.end(),
+        [](const WorkerState *worker, const auto &entry) { return worker == &entry.second; });
+}
+
 } // namespace oleanderhall
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -202,7 +202,9 @@
         pool.candidates.reset();
         pool.capacity = {};
     }
+    m_workerList.clear();
     for (auto &[id, worker] : m_workers) {
+        m_workerList.push_back(&worker);
         PoolState &pool = m_pools[worker.info.pool];
         pool.workers.push_back(&worker);
         pool.capacity += worker.info.capacity;
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -35,40 +35,43 @@
     if (maySendCommands) {
         rateNewJobs();
         countPossiblyRunning(now);
-        for (auto &[id, worker] : m_workers)
-            sendCommands(worker, now, out);
+        for (WorkerState *worker : m_workerList)
+            sendCommands(*worker, now, out);
         if (m_startGate.mayStart(now))
             place(now, out);
         writeProgress(now, out);
     }
-    for (auto &[id, worker] : m_workers)
-        sendPoll(worker, now, out);
+    for (WorkerState *worker : m_workerList)
+        sendPoll(*worker, now, out);
     return out;
 }
 
 Instant Scheduler::nextTick(Instant now) const
 {
     Instant next = now + (m_active.empty() ? kIdleTickInterval : kBusyTickInterval);
-    for (const auto &[id, worker] : m_workers) {
-        if (!worker.isPollInFlight && !worker.runs.empty() && !worker.hasTerminated)
-            next = std::min(next, std::max(worker.nextPoll, now + Millis(1)));
+    for (const WorkerState *worker : m_workerList) {
+        if (!worker->isPollInFlight && !worker->runs.empty() && !worker->hasTerminated)
+            next = std::min(next, std::max(worker->nextPoll, now + Millis(1)));
     }
     return next;
 }
 
 void Scheduler::dropExpiredRuns(Instant now)
 {
-    for (auto &[id, worker] : m_workers) {
-        if (worker.runs.empty() || worker.failedPolls == 0)
-            continue;
-        if (haveAllLeasesExpired(worker, now, m_settings.stopTimeout + kLeaseExpirySlack))
-            dropAllRuns(worker, "lease expired on an unresponsive worker", now);
+    const auto isGone = [](const WorkerState &worker) {
+        return !worker.isListed && worker.runs.empty() && worker.hasTerminated;
+    };
+    bool isAnyGone = false;
+    for (WorkerState *worker : m_workerList) {
+        if (!worker->runs.empty() && worker->failedPolls > 0
+            && haveAllLeasesExpired(*worker, now, m_settings.stopTimeout + kLeaseExpirySlack))
+            dropAllRuns(*worker, "lease expired on an unresponsive worker", now);
+        isAnyGone = isAnyGone || isGone(*worker);
     }
-    const std::size_t removed = std::erase_if(m_workers, [](const auto &entry) {
-        return !entry.second.isListed && entry.second.runs.empty() && entry.second.hasTerminated;
-    });
-    if (removed > 0)
-        groupWorkersByPool();
+    if (!isAnyGone)
+        return;
+    std::erase_if(m_workers, [&](const auto &entry) { return isGone(entry.second); });
+    groupWorkersByPool();
 }
 
 void Scheduler::sendCommands(WorkerState &worker, Instant now, std::vector<SchedulerAction> &out)
@@ -172,8 +175,8 @@
         return;
     expireOldJobs(now);
     if (m_dirty.empty() && m_expiredJobs.empty()) {
-        for (auto &[id, worker] : m_workers)
-            worker.lastRecordedEnd = worker.lastHandledEnd;
+        for (WorkerState *worker : m_workerList)
+            worker->lastRecordedEnd = worker->lastHandledEnd;
         return;
     }
     const bool isUrgent = !m_expiredJobs.empty()
@@ -208,8 +211,8 @@
         m_expiredJobs.pop_back();
     }
     if (m_dirty.empty()) {
-        for (auto &[id, worker] : m_workers)
-            worker.lastEndInBatch = worker.lastHandledEnd;
+        for (WorkerState *worker : m_workerList)
+            worker->lastEndInBatch = worker->lastHandledEnd;
     }
     m_batchInFlight = write.batch;
     m_nextRecordTime = now + m_settings.recordInterval;
