--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -77,6 +77,21 @@
     }
 }
 
+void Callers::startCrashingJobs(int count, Millis duration)
+{
+    const auto &queues = m_deployment.config().queues;
+    for (int number = 0; number < count; ++number) {
+        JobSpec job{.id = {(std::uint64_t{m_random()} << 32) | m_random()},
+                    .queue = queues[m_random() % queues.size()]};
+        job.payload = "ms=100 fail=0 crash=1";
+        StepSpec step;
+        step.need = {.milliCores = 1000, .memoryMb = 64};
+        job.steps.push_back(step);
+        m_checker.expectCrashes(job.id);
+        asio::co_spawn(m_io, runCaller(std::move(job), duration * number / count), asio::detached);
+    }
+}
+
 asio::awaitable<void> Callers::wait(Millis duration)
 {
     asio::steady_timer timer(m_io, duration);
@@ -159,9 +174,10 @@
     co_return false;
 }
 
-asio::awaitable<void> Callers::runCaller(JobSpec job)
+asio::awaitable<void> Callers::runCaller(JobSpec job, Millis delay)
 {
     const CountGuard guard(m_active);
+    co_await wait(delay);
     if (!co_await submit(job))
         co_return;
     const bool isLongRunning = job.steps.front().isLongRunning;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -30,6 +30,8 @@
     /// Submits long-running jobs with disruption budgets to each queue and cancels them after
     /// `duration`.
     void startLongRunningJobs(Millis duration);
+    /// Submits `count` jobs whose task crashes each worker that starts it, spread over `duration`.
+    void startCrashingJobs(int count, Millis duration);
     /// Returns whether jobs are still submitted or followed.
     bool isAnyActive() const { return m_active > 0; }
     /// Returns how many jobs a node accepted.
@@ -41,7 +43,7 @@
 
 private:
     boost::asio::awaitable<void> generateJobs(double perSecond, Millis duration);
-    boost::asio::awaitable<void> runCaller(JobSpec job);
+    boost::asio::awaitable<void> runCaller(JobSpec job, Millis delay = Millis(0));
     boost::asio::awaitable<void> cancel(const JobSpec &job);
     boost::asio::awaitable<void> awaitEnd(const JobSpec &job);
     boost::asio::awaitable<bool> submit(const JobSpec &job);
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -16,6 +16,8 @@
 constexpr Millis kTick{10};
 constexpr std::uint64_t kFirstStartMs = 1'700'000'000'000; // any time in milliseconds since 1970
 constexpr Millis kEntryExpiry{1500}; // from a worker's crash to the removal of its table entry
+constexpr Millis kHeartbeatInterval{1500}; // from a change of a worker to its table entry at most
+constexpr Millis kRestartDelay{3000}; // from a crash that a task has caused to the next worker
 // Offsets from DeploymentSettings::firstPort.
 constexpr int kTablePortOffset = 0;
 constexpr int kHostPortOffset = 1;
@@ -136,8 +138,18 @@
 
 void Deployment::tick()
 {
-    for (Worker &worker : m_workers)
-        worker.incarnation->tick();
+    for (int index = 0; index < m_settings.workers; ++index) {
+        const auto &incarnation = m_workers[static_cast<std::size_t>(index)].incarnation;
+        incarnation->tick();
+        if (!incarnation->isCrashDue())
+            continue;
+        crashWorker(index);
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kRestartDelay);
+        timer->async_wait([this, timer, index](const boost::system::error_code &) {
+            if (m_workers[static_cast<std::size_t>(index)].incarnation->hasTerminated())
+                startWorker(index);
+        });
+    }
     m_timer.expires_after(kTick);
     m_timer.async_wait([this](const boost::system::error_code &failed) {
         if (!failed)
@@ -175,15 +187,39 @@
     const WorkerStartTime started{
         keepsId ? kFirstStartMs + static_cast<std::uint64_t>(worker.incarnationCount) : 0};
     worker.incarnation = std::make_shared<platform::StandinWorker>(m_io, id, started, m_checker);
+    worker.started = started;
+    worker.milliCores = kMilliCoresPerWorker;
+    m_checker.onWorkerResized(id, worker.milliCores);
+    publishWorker(worker, index);
+    if (m_hosts)
+        m_hosts->setHost(hostOf(index));
+}
+
+void Deployment::publishWorker(const Worker &worker, int index)
+{
+    const std::string &id = worker.incarnation->id();
     const WorkerInfo info{.id = WorkerId(id),
                           .pool = worker.pool,
                           .address = addressAt(worker.port),
                           .zone = ZoneId("z" + std::to_string(index % 2)),
-                          .capacity = {.milliCores = 8000, .memoryMb = 8192},
-                          .started = started};
+                          .capacity = {.milliCores = worker.milliCores, .memoryMb = 8192},
+                          .started = worker.started};
     m_table.put(platform::kWorkerTable, id, platform::encodeWorker(info));
-    if (m_hosts)
-        m_hosts->setHost(hostOf(index));
+}
+
+void Deployment::resizeWorker(int index, std::int64_t milliCores)
+{
+    Worker &worker = m_workers[static_cast<std::size_t>(index)];
+    if (worker.incarnation->hasTerminated())
+        return;
+    worker.milliCores = milliCores;
+    m_checker.onWorkerResized(worker.incarnation->id(), milliCores);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, kHeartbeatInterval);
+    timer->async_wait([this, timer, index, &worker,
+                       resized = worker.incarnation](const boost::system::error_code &) {
+        if (worker.incarnation == resized && !resized->hasTerminated())
+            publishWorker(worker, index);
+    });
 }
 
 void Deployment::serveHosts()
@@ -217,7 +253,7 @@
             .pool = worker.pool,
             .state = HostInfo::State::Ready,
             .zone = ZoneId("z" + std::to_string(index % 2)),
-            .capacity = {.milliCores = 8000, .memoryMb = 8192},
+            .capacity = {.milliCores = kMilliCoresPerWorker, .memoryMb = 8192},
             .worker = WorkerId(worker.incarnation->id())};
 }
 
@@ -265,6 +301,10 @@
     Worker &worker = m_workers[static_cast<std::size_t>(index)];
     if (worker.incarnation->hasTerminated())
         return;
+    for (const auto &[task, run] : worker.incarnation->running()) {
+        if (!worker.isHostAway)
+            m_checker.onWorkerCrashed(task);
+    }
     worker.incarnation->crash();
     worker.proxy->resetConnections();
     m_endedIncarnations.push_back(worker.incarnation);
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -46,6 +46,8 @@
                InvariantChecker &checker);
     ~Deployment();
 
+    static constexpr std::int64_t kMilliCoresPerWorker = 8000; ///< When it starts.
+
     struct Node
     {
         std::unique_ptr<NodeProcess> process;
@@ -60,6 +62,8 @@
         std::uint16_t port = 0; ///< Port of the proxy, which the nodes connect to.
         int incarnationCount = 0;
         PoolId pool;
+        std::int64_t milliCores = 0; ///< Its capacity.
+        WorkerStartTime started; ///< Of its incarnation; 0 if that is not reported.
         bool isHostAway = false; ///< Its host is moved or maintained.
     };
 
@@ -76,6 +80,8 @@
     /// Starts a new incarnation of a worker under a new id; terminates a running one first. Does
     /// nothing while the worker's host is moved or maintained, or is a spare.
     void startWorker(int index);
+    /// Changes the capacity of a running worker. Its entry shows it after one heartbeat.
+    void resizeWorker(int index, std::int64_t milliCores);
     /// Writes an unreadable row to the worker table.
     void writeDamagedRow();
     /// Restarts the nodes that have terminated. Returns whether one terminated without a signal
@@ -85,6 +91,7 @@
 private:
     void tick();
     void publishConfig();
+    void publishWorker(const Worker &worker, int index);
     void serveHosts();
     void onHostCommand(int index);
     /// Now and then stops or kills the node that has just sent a command to a host, so that the
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -10,6 +10,7 @@
 
 constexpr int kMinFaultMs = 200;
 constexpr int kMaxFaultMs = 5000; // longer than the leases of the owner and of tasks
+constexpr unsigned kMaxMilliCoresLeft = 4000; // after a worker has shrunk
 constexpr double kFaultyShare = 0.3; // share of transactions that a table fault hits
 
 } // namespace
@@ -158,6 +159,15 @@
 {
     const auto index = static_cast<int>(m_random() % m_deployment.workers().size());
     const std::string name = "worker " + std::to_string(index);
+    if (m_random() % 2 == 0) {
+        const auto left = static_cast<std::int64_t>(m_random() % kMaxMilliCoresLeft);
+        const auto resize = [this, index](std::int64_t milliCores) {
+            return [this, index, milliCores] { m_deployment.resizeWorker(index, milliCores); };
+        };
+        schedule(begin, name + " shrinks to " + std::to_string(left), resize(left));
+        schedule(begin + length, name + " grows", resize(Deployment::kMilliCoresPerWorker));
+        return;
+    }
     schedule(begin, name + " crashes", [this, index] { m_deployment.crashWorker(index); });
     schedule(begin + length, name + " restarts",
              [this, index] { m_deployment.startWorker(index); });
--- a/soak/invariantchecker.h
+++ b/soak/invariantchecker.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oleanderhall::soak {
@@ -22,12 +23,16 @@
 /// - A task is not started again after its completion or its last allowed failure was acknowledged.
 /// - No accepted job is lost or reported with a wrong state.
 /// - No command ends a long-running task beyond the disruption budget of its step.
+/// - No start brings a worker over its capacity, or over the one it had shortly before.
+/// - A task that crashes its workers is started at most twice after three crashes.
 class InvariantChecker : public platform::RunObserver
 {
 public:
     // Events at callers.
     void onSubmitted(const JobSpec &job);
     void onAccepted(JobId id);
+    /// Each task of the submitted job crashes its worker.
+    void expectCrashes(JobId id) { m_jobs[id].crashesWorkers = true; }
     /// Every attempt to submit the job was refused, so it must never run.
     void onRefused(JobId id);
     void onCancelSent(JobId id);
@@ -40,6 +45,10 @@
     void onEndAcknowledged(const TaskId &task, std::int64_t run) override;
     /// A command to the host of `worker` ends all runs there.
     void onHostCommand(const std::string &worker);
+    /// A worker was started or its capacity has changed.
+    void onWorkerResized(const std::string &worker, std::int64_t milliCores);
+    /// A worker that runs `task` is about to terminate without a command.
+    void onWorkerCrashed(const TaskId &task) { ++m_tasks[task].crashes; }
     /// Sets a test for whether a fault may have delayed commands to a worker. The time of their
     /// arrival shows nothing.
     void setDelayTest(std::function<bool(const std::string &)> test) { m_delayTest = test; }
@@ -60,6 +69,7 @@
         bool isAccepted = false;
         bool isRefused = false;
         bool isCancelSent = false;
+        bool crashesWorkers = false;
         std::optional<JobState> reportedState;
     };
     struct Task
@@ -70,14 +80,19 @@
         bool isDoneAcknowledged = false;
         int failures = 0;
         int acknowledgedFailures = 0;
+        int crashes = 0; ///< Of workers that ran it, without a command.
+        int startsAfterCrashes = 0; ///< Since it had crashed kMaxCrashes workers.
     };
 
     void addViolation(const std::string &what);
     void checkCommand(const TaskId &task);
+    void checkCapacity(const std::string &start, const std::string &worker);
     bool isStepDone(const Job &job, int step) const;
 
     std::map<JobId, Job> m_jobs;
     std::map<TaskId, Task> m_tasks;
+    /// The capacities of each worker and since when it has them, the latest last.
+    std::map<std::string, std::vector<std::pair<Instant, std::int64_t>>> m_capacities;
     AvailabilityChecker m_availability;
     std::function<bool(const std::string &)> m_delayTest;
     std::vector<std::string> m_violations;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -34,6 +34,7 @@
     int faultSeconds = 15; ///< Length of the phase with faults.
     int faultCount = 14;
     double jobsPerSecond = 6;
+    int crashingJobs = 0;
 };
 
 void run(boost::asio::io_context &io, Millis time)
@@ -54,6 +55,7 @@
     FaultInjector faults(io, deployment, settings.deployment.seed);
     const Millis time = std::chrono::seconds(settings.faultSeconds);
     callers.start(settings.jobsPerSecond, time);
+    callers.startCrashingJobs(settings.crashingJobs, time);
     if (settings.deployment.hasHosts) {
         callers.startLongRunningJobs(time);
         for (Millis begin = kFirstWave; begin < time; begin += kWaveInterval)
@@ -127,6 +129,8 @@
         ->check(CLI::Range(2, 600));
     app.add_option("--faults", settings.faultCount, "Number of faults");
     app.add_option("--jobs-per-second", settings.jobsPerSecond, "Jobs submitted per second");
+    app.add_option("--crashing-jobs", settings.crashingJobs,
+                   "Jobs whose task crashes each worker that starts it");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     std::vector<std::uint32_t> seeds = readSeeds(seedFile);
