--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -520,6 +520,8 @@
         if (job.spec.queue.advice
             && m_tickets.find({job.spec.id, occurrence.number, step}, id, now).empty())
             continue;
+        if (task.crashes > 0 && isEndExpected(worker, now))
+            continue; // its next crash would not be counted there
         const auto isCompatible = [&](const WorkerRun &run) {
             return mayRunBeside(run, job.spec.id, isAlone);
         };
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -504,3 +504,21 @@
                    {{.task = start.task, .run = start.run, .progressPercent = 5}});
     CHECK(tick<StartCommand>().size() == 1);
 }
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_hostCommandMayEndAWorker_tasksThatCrashedOthersWait",
+                 "[scheduling]")
+{
+    // Guards against further crashes that are taken for the effect of a command to the host.
+    syncAllWorkers();
+    for (const WorkerId worker : {w1, w2})
+        scheduler.distrustRuns(worker, now + Millis(1000));
+    JobProgress progress{.id = {1}, .isReleased = true};
+    progress.tasks.push_back({.crashes = 1});
+    scheduler.addJob(makeJob(1, "pool", {makeStep(1, Millis(100))}), progress, false, now);
+    submit(makeJob(2, "pool", {makeStep(1, Millis(100))}));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task.job == JobId{2});
+    advance(Millis(1000));
+    CHECK(tick<StartCommand>().size() == 1);
+}
