--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -15,6 +15,9 @@
 /// its cause and costs no one else. Two crashes of sound tasks are rare also when many workers
 /// fail.
 constexpr int kCrashesBeforeIsolation = 2;
+/// As many crashes end the job if no other job's task was on the last worker. Two may be due to
+/// failures of two racks.
+constexpr int kCrashesThatProve = 3;
 /// As many crashes end the job also when other jobs ran on each of the workers. The platform allows
 /// two starts after the third crash, and a change of owner may lose the count of one crash.
 constexpr int kMaxCrashes = 4;
@@ -91,7 +94,7 @@
     task->lastCrash = ++job.crashes;
     markDirty(job);
     const bool isCause = isOnlyJob && !isSameHost;
-    if (task->crashes < (isCause ? kCrashesBeforeIsolation : kMaxCrashes))
+    if (task->crashes < (isCause ? kCrashesThatProve : kMaxCrashes))
         return;
     logDecision({"job_given_up",
                  {{"job", textOf(id.job)},
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -522,3 +522,85 @@
     advance(Millis(1000));
     CHECK(tick<StartCommand>().size() == 1);
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest,
+                 "Scheduler_hostsCrashUnderAServiceTaskThatStarts_itsReadyTasksGoOn",
+                 "[scheduling]")
+{
+    // Guards against a service that is stopped as a whole because two hosts crash in a row.
+    JobSpec job = longRunningJob(1, 3, 1);
+    job.steps.front().maxPerWorker = 1;
+    submit(std::move(job));
+    for (int round = 0; round < 2; ++round) {
+        const WorkerInfo worker = makeWorker("n" + std::to_string(round), "pool", 8000);
+        const std::string host = "x" + std::to_string(round);
+        scheduler.setWorkers(
+            {makeWorker("w1", "pool", 8000), makeWorker("w2", "pool", 8000), worker}, now);
+        scheduler.updateHosts(
+            {makeHost("h1", w1), makeHost("h2", w2), makeHost(host.c_str(), worker.id)}, now, now);
+        answerPoll({.worker = worker.id});
+        advance(kRankingTime);
+        const std::vector<StartCommand> starts = tick<StartCommand>();
+        confirm(starts);
+        for (const StartCommand &start : starts) {
+            if (start.worker != worker.id)
+                answerPoll({.worker = start.worker}, {readyRun(start)});
+        }
+        advance(kRankingTime);
+        scheduler.updateHosts(
+            {makeHost("h1", w1), makeHost("h2", w2), makeHost(host.c_str(), WorkerId())}, now, now);
+    }
+    CHECK(stateOf(1) == JobState::Running);
+}
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_racksFailTwice_soundJobIsNotGivenUp",
+                 "[scheduling]")
+{
+    // Guards against large jobs that are given up because racks under them fail.
+    StepSpec step = makeStep(2, Millis(60000));
+    step.need.milliCores = 8000;
+    submit(makeJob(1, "pool", {step}));
+    for (const std::string rack : {"r0", "r1"}) {
+        const std::vector<WorkerInfo> workers{makeWorker("a" + rack, "pool", 8000),
+                                              makeWorker("b" + rack, "pool", 8000)};
+        scheduler.setWorkers(workers, now);
+        const auto list = [&](bool areUp) {
+            std::vector<HostInfo> hosts;
+            for (const WorkerInfo &worker : workers)
+                hosts.push_back(
+                    makeHost(("host-" + worker.id.name()).c_str(), areUp ? worker.id : WorkerId()));
+            scheduler.updateHosts(hosts, now, now);
+        };
+        list(true);
+        syncAllWorkers();
+        const std::vector<StartCommand> starts = tick<StartCommand>();
+        REQUIRE(starts.size() == 2);
+        confirm(starts);
+        advance(kRankingTime);
+        list(false);
+    }
+    CHECK(stateOf(1) == JobState::Running);
+}
+
+TEST_CASE_METHOD(SchedulerCrashTest, "Scheduler_readyServiceCrashesItsWorkers_batchJobIsNotGivenUp",
+                 "[scheduling]")
+{
+    // Guards against batch jobs that are given up for a service that crashes after it was ready.
+    startOnBothWorkers();
+    submit(makeJob(2, "pool", {makeStep(1, Millis(60000))}));
+    std::vector<HostInfo> hosts{makeHost("h1", w1), makeHost("h2", w2)};
+    for (int round = 0; round < 2; ++round) {
+        advance(kRankingTime);
+        const std::vector<StartCommand> starts = tick<StartCommand>();
+        const auto batch = std::find_if(starts.begin(), starts.end(), [](const auto &start) {
+            return start.task.job == JobId{2};
+        });
+        REQUIRE(batch != starts.end());
+        confirm(starts);
+        HostInfo &host = hosts.at(batch->worker == w1 ? 0 : 1);
+        host = makeHost(host.id.name().c_str(), WorkerId());
+        advance(kRankingTime);
+        scheduler.updateHosts(hosts, now, now);
+    }
+    CHECK(stateOf(2) == JobState::Running);
+}
