--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -604,3 +604,31 @@
     }
     CHECK(stateOf(2) == JobState::Running);
 }
+
+TEST_CASE_METHOD(SchedulerCrashTest,
+                 "Scheduler_hostsAreListedAfterTheLeasesOfACrashedWorker_crashIsCounted",
+                 "[.][open]")
+{
+    // Guards against a task that crashes workers without limit while no list of hosts can be read.
+    submitAfterCrashes(makeJob(1, "pool", {makeStep(1, Millis(60000))}), 1);
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 1);
+    confirm(starts);
+    const WorkerId crashed = starts.front().worker;
+    const Instant end = now + Millis(15000);
+    while (now < end) {
+        for (const PollRequest &request : tick<PollRequest>()) {
+            if (request.worker == crashed)
+                scheduler.onPollResult(request, CallResult::NotSent, {}, now, now);
+            else
+                answerPoll(request);
+        }
+        advance(Millis(50));
+    }
+    REQUIRE(scheduler.workers().at(crashed).runs.empty());
+    scheduler.updateHosts({makeHost("h1", crashed == w1 ? WorkerId() : w1),
+                           makeHost("h2", crashed == w2 ? WorkerId() : w2)},
+                          now, now);
+    CHECK(scheduler.jobs().at(JobId{1}).occurrences.front().steps.front().tasks.front().crashes
+          == 2);
+}
