--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -233,7 +233,7 @@
     static void beginIsolation(TrackedTask &task, Instant now);
     static bool mayRunBeside(const WorkerRun &other, JobId job, bool isIsolated);
     static bool areCrashesRecorded(const TrackedJob &job, const TrackedTask &task);
-    void clearCrashes(WorkerRun &run, Instant now);
+    void updateSuspicion(WorkerRun &run, Instant now);
     std::set<JobId> jobsAwaitingIsolation(PoolId pool, Instant now);
     void updateQuarantine(PoolId id, PoolState &pool, Instant now);
 
--- a/src/scheduling/schedulercrashes.cpp
+++ b/src/scheduling/schedulercrashes.cpp
@@ -11,14 +11,14 @@
 constexpr int kReadyPercent = 100;
 constexpr std::size_t kMaxTasksPerLine = 32; // of a log line, which is cut at 2 KB
 
-/// A task whose workers crashed as often runs apart from other jobs, so that the next crash shows
-/// its cause and costs no one else. Two crashes of sound tasks are rare also when many workers
-/// fail.
+/// A task under which so many workers have crashed runs apart from other jobs, so that the next
+/// crash shows its cause and costs no one else. Sound tasks rarely meet two crashes, also when many
+/// workers fail.
 constexpr int kCrashesBeforeIsolation = 2;
-/// As many crashes end the job if no other job's task was on the last worker. Two may be due to
+/// So many crashes end the job if no other job's task was on the last worker. Two could be due to
 /// failures of two racks.
 constexpr int kCrashesThatProve = 3;
-/// As many crashes end the job also when other jobs ran on each of the workers. The platform allows
+/// So many crashes end the job also when other jobs ran on each of the workers. The platform allows
 /// two starts after the third crash, and a change of owner may lose the count of one crash.
 constexpr int kMaxCrashes = 4;
 /// How long a task waits for a worker without other jobs. After that it shares one again, so that
@@ -189,10 +189,10 @@
     return !isSuspected(task) || task.lastCrash <= job.recordedCrashes;
 }
 
-/// Handles that a status lists the run. A long-running task that is ready has not crashed this
-/// worker when it started. Tasks of other jobs may start beside it, and beside a run that has gone
-/// on for a while.
-void Scheduler::clearCrashes(WorkerRun &run, Instant now)
+/// Ends the isolation of a run that a status lists, once the run has gone on for a while or its
+/// long-running task is ready. A ready one has not crashed this worker when it started, so the
+/// crashes counted before were not its own.
+void Scheduler::updateSuspicion(WorkerRun &run, Instant now)
 {
     const bool isReady = run.isLongRunning && !mayCrashWorker(run);
     if (run.isIsolated && (isReady || now - run.runningSince >= kMaxIsolationTime)) {
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -491,7 +491,7 @@
         need.milliCores = 0;
     WorkerState *best = nullptr;
     double bestScore = 0;
-    const bool isAlone = isIsolated(task, now);
+    const bool mustBeIsolated = isIsolated(task, now);
     PoolState &pool = m_pools[job.spec.queue.pool];
     if (!pool.candidates) {
         pool.candidates.emplace();
@@ -512,7 +512,7 @@
         WorkerState &worker = *candidate.worker;
         const WorkerId id = worker.info.id;
         if ((!isReservedFor && pool.reservation.workers.contains(id))
-            || (!isAlone && pool.quarantine.contains(id)))
+            || (!mustBeIsolated && pool.quarantine.contains(id)))
             continue;
         if ((task.isPlaced && id == task.worker) // a copy runs elsewhere
             || (!spec.requiredLabel.empty() && !worker.info.hasLabel(spec.requiredLabel)))
@@ -523,7 +523,7 @@
         if (task.crashes > 0 && isEndExpected(worker, now))
             continue; // its next crash would not be counted there
         const auto isCompatible = [&](const WorkerRun &run) {
-            return mayRunBeside(run, job.spec.id, isAlone);
+            return mayRunBeside(run, job.spec.id, mustBeIsolated);
         };
         if (!m_suspectTasks.empty()
             && !std::all_of(worker.runs.begin(), worker.runs.end(), isCompatible))
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -91,7 +91,7 @@
         known->progressPercent = reported.progressPercent;
         known->checkpoint = reported.checkpoint;
         known->recentLoad = reported.recentLoad;
-        clearCrashes(*known, now);
+        updateSuspicion(*known, now);
         return;
     }
     const StepSpec *spec = findSpec(reported.task);
--- a/tests/scheduling/schedulercrashes_test.cpp
+++ b/tests/scheduling/schedulercrashes_test.cpp
@@ -318,8 +318,7 @@
 
 namespace {
 
-/// Two workers that also run a task of job 9 each if `isBusy`, and the job 1, under whose first
-/// task workers have crashed.
+/// Two workers that were read, and jobs under whose first task workers have crashed.
 class SchedulerCrashTest : public SchedulerTest
 {
 protected:
