--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -351,6 +351,7 @@
         self.ends = []       # (time, worker id, task, run, how)
         self.noted = set()   # (worker id, task, run) of ends that lastSeen has reached
         self.tasks = []
+        self.cloud_handler = self.cloud
         self.dead = set()    # indexes of nodes that were killed
         self.routes = [dict(name="q-" + s, host="cases.example", prefix="/%s/" % s, kind="unsafe",
                             timeoutMs=3000, targetDurationMs=600, priority=0, service=s,
@@ -439,7 +440,7 @@
 
     async def start(self):
         self.servers.append(await serve("%s:8621" % self.ip(2), self.store.handle))
-        self.servers.append(await serve("%s:8621" % self.ip(3), self.cloud))
+        self.servers.append(await serve("%s:8621" % self.ip(3), lambda *call: self.cloud_handler(*call)))
         for number in range(self.worker_count):
             await self.add_worker(number)
         self.store.put("op", "config", self.config)
