--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""TWICE: after a route moved to another service, a new owner starts tasks that still run."""
+"""TWICE: after a route was removed and added for another service, a new owner starts running tasks."""
 import asyncio
 import copy
 import os
@@ -35,9 +35,14 @@
     if trouble:
         config = copy.deepcopy(fleet.config)
         config["version"] += 3
-        config["routes"][0]["service"] = new
+        route = config["routes"].pop(0)
         fleet.store.put("op", "config", config)
-        fleet.record.add("the operator sends the route to %s; the store has confirmed it" % new)
+        fleet.record.add("the operator removes the route; the store has confirmed it")
+        await asyncio.sleep(4)
+        config["version"] += 2
+        config["routes"].insert(0, dict(route, service=new))
+        fleet.store.put("op", "config", config)
+        fleet.record.add("the operator adds the route, to %s; the store has confirmed it" % new)
     await asyncio.sleep(5)  # well over configApplyMs
     owner = fleet.owner()
     if owner is None:
