--- a/include/oleanderhall/jobs/jobprogress.h
+++ b/include/oleanderhall/jobs/jobprogress.h
@@ -37,6 +37,9 @@
     /// The job's tasks may have been started. No task of a job that is not released has ever run,
     /// so a new owner need not search the workers for it.
     bool isReleased = false;
+    /// The pools on whose workers the tasks of a released job may have been started; empty if that
+    /// is only the pool with which the job was accepted.
+    std::vector<PoolId> releasedPools;
     /// What tasks of an ended job may still have used when this was recorded. A new owner counts it
     /// against the team's cap until it has read all workers.
     Resources stillRunning;
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -207,6 +207,7 @@
     WorkerRun *findRun(WorkerState &worker, const TaskId &task, std::int64_t run);
     void requestStop(WorkerRun &run, Instant now);
     void stopJob(TrackedJob &job, Instant now);
+    void setQueue(TrackedJob &job, const QueueConfig &queue);
     void finish(TrackedJob &job, JobState state, Instant now);
     void markDirty(TrackedJob &job);
     void markLazilyDirty(TrackedJob &job, Instant now);
@@ -334,6 +335,8 @@
     double remainingWork(const TrackedJob &job, const Occurrence *occurrence) const;
     std::int64_t nextRunNumber(std::int64_t last) const;
     JobProgress progressOf(const TrackedJob &job) const;
+    static void addReleasedPools(TrackedJob &job, const JobProgress &progress);
+    static std::vector<PoolId> releasedPoolsOf(const TrackedJob &job);
 
     SchedulerSettings m_settings;
     std::int64_t m_generation;
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -68,7 +68,8 @@
 };
 
 /// The owner's in-memory state of one job. A job's tasks may start only after its release, a
-/// durable record that they may have been started, so that a later owner looks for their runs.
+/// durable record that they may have been started, so that a later owner looks for their runs. The
+/// release is for the workers of one pool; a job whose queue gets another pool is released again.
 struct TrackedJob
 {
     JobSpec spec;
@@ -78,6 +79,10 @@
     bool isReleased = false; ///< Its release is decided, but possibly not recorded yet.
     bool isReleaseInBatch = false; ///< The write in flight contains its release.
     bool isReleaseRecorded = false; ///< Its release is durable, so its tasks may start.
+    PoolId acceptedPool; ///< The pool of its queue when it was accepted.
+    /// Pools that its queue had before and into which the job was released, possibly by an earlier
+    /// owner. Its tasks may have been started on their workers.
+    std::vector<PoolId> earlierPools;
     bool isOverRate = false; ///< Its team sent it beyond its rate.
     bool hasBegun = false; ///< A worker has confirmed that a task of it runs or has ended.
     Instant accepted;
@@ -96,6 +101,8 @@
     std::int64_t crashesInBatch = 0; ///< The same as of the write in flight.
     std::int64_t recordedCrashes = 0; ///< The same as of the latest durable write.
 
+    /// Returns whether tasks of it may have been started by any owner.
+    bool mayHaveStarted() const { return isReleased || !earlierPools.empty(); }
     bool isLongRunning() const { return !spec.steps.empty() && spec.steps.front().isLongRunning; }
 };
 
--- a/src/jobs/jobprogress.cpp
+++ b/src/jobs/jobprogress.cpp
@@ -37,6 +37,14 @@
     return task;
 }
 
+value encodePools(const std::vector<PoolId> &pools)
+{
+    value names = value::array();
+    for (const PoolId pool : pools)
+        names[names.size()] = value(pool.name());
+    return names;
+}
+
 /// Encodes the tasks under which workers crashed. They are apart from the tasks' arrays, whose
 /// length earlier versions check.
 value encodeCrashes(const std::vector<TaskProgress> &tasks)
@@ -77,6 +85,8 @@
         record["team"] = value(progress.team.name());
     if (progress.isReleased)
         record["released"] = value(true);
+    if (!progress.releasedPools.empty())
+        record["pools"] = encodePools(progress.releasedPools);
     if (progress.stillRunning != Resources())
         record["running"] = value::array({value(progress.stillRunning.milliCores),
                                           value(progress.stillRunning.memoryMb),
@@ -98,6 +108,10 @@
         JobProgress progress{.id = id, .state = static_cast<JobState>(state)};
         progress.acceptedMs = record.at("accepted").as_number().to_int64();
         progress.isReleased = record.has_field("released");
+        if (record.has_field("pools")) {
+            for (const value &pool : record.at("pools").as_array())
+                progress.releasedPools.emplace_back(pool.as_string());
+        }
         if (record.has_field("team"))
             progress.team = TeamId(record.at("team").as_string());
         if (record.has_field("running")) {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -35,12 +35,34 @@
     for (auto &[id, job] : m_jobs) {
         const auto found = m_queues.find(job.spec.queue.name);
         if (found != m_queues.end() && job.spec.config <= version)
-            job.spec.queue = found->second;
+            setQueue(job, found->second);
     }
     groupJobsByPool();
     m_needsPlacement = true;
 }
 
+/// Replaces the configuration of the job's queue. If the queue has got another pool, the job must
+/// be released again before its tasks start there: a later owner searches only the workers of the
+/// pools that the job's record names.
+void Scheduler::setQueue(TrackedJob &job, const QueueConfig &queue)
+{
+    const PoolId earlier = job.spec.queue.pool;
+    job.spec.queue = queue;
+    if (queue.pool == earlier || isFinal(job.state))
+        return;
+    const auto known = std::find(job.earlierPools.begin(), job.earlierPools.end(), earlier);
+    if (job.isReleased && known == job.earlierPools.end())
+        job.earlierPools.push_back(earlier);
+    job.isReleased = false;
+    job.isReleaseInBatch = false;
+    job.isReleaseRecorded = false;
+    logDecision({"job_pool_changed",
+                 {{"job", textOf(job.spec.id)},
+                  {"queue", queue.name},
+                  {"from", earlier.name()},
+                  {"to", queue.pool.name()}}});
+}
+
 void Scheduler::setWorkers(const std::vector<WorkerInfo> &workers, Instant now)
 {
     for (auto &[id, worker] : m_workers)
@@ -97,16 +119,16 @@
     job.isInherited = isInherited || accepted - m_termStart < m_settings.takeoverOverlap;
     job.inheritedProgress = progress.tasks;
     job.hasBegun = progress.state == JobState::Running || !progress.tasks.empty();
-    job.isReleased = progress.isReleased;
-    job.isReleaseRecorded = progress.isReleased;
+    job.acceptedPool = job.spec.queue.pool;
     const auto queue = m_queues.find(job.spec.queue.name);
     if (queue != m_queues.end() && job.spec.config <= m_version)
         job.spec.queue = queue->second;
+    addReleasedPools(job, progress);
     if (!job.spec.team.empty())
         m_newTeamJobs.push_back(id);
     job.inheritedRunning = progress.stillRunning;
     const bool mayStillRun = isFinal(job.state) ? progress.stillRunning != Resources()
-                                                : job.isInherited && job.isReleased;
+                                                : job.isInherited && job.mayHaveStarted();
     if (mayStillRun && !job.spec.team.empty()) {
         m_possiblyStarted.push_back(id);
         m_nextPossibleCount = {};
@@ -147,7 +169,7 @@
         TrackedStep trackedStep;
         trackedStep.tasks.resize(static_cast<std::size_t>(step.count));
         for (TrackedTask &task : trackedStep.tasks) {
-            task.mayRunOnUnsyncedWorker = job.isInherited && job.isReleased;
+            task.mayRunOnUnsyncedWorker = job.isInherited && job.mayHaveStarted();
         }
         occurrence.steps.push_back(std::move(trackedStep));
     }
@@ -372,13 +394,39 @@
     return result;
 }
 
+/// Sets into which pools the job was released, as its stored progress shows.
+void Scheduler::addReleasedPools(TrackedJob &job, const JobProgress &progress)
+{
+    if (!progress.isReleased)
+        return;
+    std::vector<PoolId> pools = progress.releasedPools;
+    if (pools.empty())
+        pools.push_back(job.acceptedPool);
+    const bool isReleased = std::erase(pools, job.spec.queue.pool) > 0;
+    job.isReleased = isReleased;
+    job.isReleaseRecorded = isReleased;
+    job.earlierPools = std::move(pools);
+}
+
+/// Returns JobProgress::releasedPools of the job.
+std::vector<PoolId> Scheduler::releasedPoolsOf(const TrackedJob &job)
+{
+    std::vector<PoolId> pools = job.earlierPools;
+    if (job.isReleased && std::find(pools.begin(), pools.end(), job.spec.queue.pool) == pools.end())
+        pools.push_back(job.spec.queue.pool);
+    if (pools == std::vector<PoolId>{job.acceptedPool})
+        pools.clear();
+    return pools;
+}
+
 JobProgress Scheduler::progressOf(const TrackedJob &job) const
 {
     JobProgress progress{.id = job.spec.id,
                          .state = job.state,
                          .team = job.spec.team,
                          .acceptedMs = job.spec.acceptedMs,
-                         .isReleased = job.isReleased};
+                         .isReleased = job.mayHaveStarted(),
+                         .releasedPools = releasedPoolsOf(job)};
     if (job.state == JobState::Running && !job.hasBegun)
         progress.state = JobState::Queued; // callers are told so
     if (isFinal(job.state)) {
--- a/src/scheduling/schedulercopies.cpp
+++ b/src/scheduling/schedulercopies.cpp
@@ -184,8 +184,8 @@
     TrackedJob &job = m_jobs.at(run.task.job);
     const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(run.task.step)];
     TrackedTask &task = *findTask(run.task);
-    if (task.crashes > 0 || task.currentRun != run.run || !mayRunTwice(job, spec, task)
-        || !areEarlierRunsKnown(job, task, now))
+    if (!job.isReleaseRecorded || task.crashes > 0 || task.currentRun != run.run
+        || !mayRunTwice(job, spec, task) || !areEarlierRunsKnown(job, task, now))
         return false;
     const auto occurrence = std::find_if(
         job.occurrences.begin(), job.occurrences.end(),
--- a/src/scheduling/schedulerplacement.cpp
+++ b/src/scheduling/schedulerplacement.cpp
@@ -76,10 +76,14 @@
 {
     if (!task.mayRunOnUnsyncedWorker || now - m_termStart >= m_settings.inheritedTaskDelay)
         return true;
-    std::optional<bool> &isPoolSynced = m_pools[job.spec.queue.pool].isSynced;
-    if (!isPoolSynced)
-        isPoolSynced = isSynced(job.spec.queue.pool);
-    return *isPoolSynced;
+    const auto areRunsRead = [this](PoolId pool) {
+        std::optional<bool> &isPoolSynced = m_pools[pool].isSynced;
+        if (!isPoolSynced)
+            isPoolSynced = isSynced(pool);
+        return *isPoolSynced;
+    };
+    return areRunsRead(job.spec.queue.pool)
+        && std::all_of(job.earlierPools.begin(), job.earlierPools.end(), areRunsRead);
 }
 
 Millis Scheduler::remainingCriticalPath(const TrackedJob &job, const Occurrence *occurrence) const
--- a/src/scheduling/schedulerteams.cpp
+++ b/src/scheduling/schedulerteams.cpp
@@ -171,7 +171,8 @@
         if (found == m_jobs.end())
             continue;
         const TrackedJob &job = found->second;
-        const PoolId pool = job.spec.queue.pool;
+        // What was started in several pools isn't bounded by the capacity of one.
+        const PoolId pool = job.earlierPools.empty() ? job.spec.queue.pool : PoolId();
         const auto [read, isNew] = isRead.try_emplace(pool);
         if (isNew)
             read->second = pool.empty() ? isSynced() : isSynced(pool);
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -32,6 +32,7 @@
                                .team = TeamId("team"),
                                .acceptedMs = 1234567890123,
                                .isReleased = true,
+                               .releasedPools = {PoolId("a"), PoolId("b")},
                                .tasks = {{.occurrence = 1,
                                           .step = 2,
                                           .index = 3,
