--- a/include/oleanderhall/jobs/jobprogress.h
+++ b/include/oleanderhall/jobs/jobprogress.h
@@ -43,6 +43,9 @@
     /// What tasks of an ended job may still have used when this was recorded. A new owner counts it
     /// against the team's cap until it has read all workers.
     Resources stillRunning;
+    /// The job was cancelled while it wasn't stored, and this record prevents that it is stored
+    /// later. Callers are told that there is no such job.
+    bool isWithdrawn = false;
     std::vector<TaskProgress> tasks;
 
     friend bool operator==(const JobProgress &, const JobProgress &) = default;
--- a/include/oleanderhall/jobs/storequeue.h
+++ b/include/oleanderhall/jobs/storequeue.h
@@ -61,6 +61,9 @@
     void refuseUnsent();
     /// Reports that the row of a job was found, so that the job is stored.
     void onRowFound(JobId id, std::uint64_t version);
+    /// Reports that a caller has cancelled the job while it wasn't stored, so that no write of it
+    /// takes effect any more.
+    void onWithdrawn(JobId id);
     /// Returns what is due. Must be called after each of the other functions, and at least every
     /// kTickInterval while jobs wait.
     /// Without `maySend`, as while another node writes for the partition, the step contains no
--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -54,9 +54,11 @@
     /// Sets the complete list of workers from service discovery.
     void setWorkers(const std::vector<WorkerInfo> &workers, Instant now);
     /// Adds a stored job that was accepted at `accepted`, with its recorded progress. An inherited
-    /// job may have been started by an earlier owner. Does nothing for a known job.
+    /// job may have been started by an earlier owner. Does nothing for a known job, except that one
+    /// whose cancellation was read before it is recorded as cancelled.
     void addJob(JobSpec spec, const JobProgress &progress, bool isInherited, Instant accepted);
-    /// Cancels a job and stops its runs. Does nothing for an unknown or ended job.
+    /// Cancels a job and stops its runs. Does nothing for an ended job. An unknown one was
+    /// cancelled while it wasn't stored; its records are deleted like those of an ended job.
     void cancel(JobId id, Instant now);
     /// Sets which start commands are permitted: none are returned by tick() while the gate is
     /// closed, and no worker carries one out after StartGate::latestStart().
@@ -207,6 +209,8 @@
     WorkerRun *findRun(WorkerState &worker, const TaskId &task, std::int64_t run);
     void requestStop(WorkerRun &run, Instant now);
     void stopJob(TrackedJob &job, Instant now);
+    void addWithdrawn(JobId id, Instant now);
+    void recordWithdrawn(TrackedJob &job, JobSpec spec);
     void setQueue(TrackedJob &job, const QueueConfig &queue);
     void finish(TrackedJob &job, JobState state, Instant now);
     void markDirty(TrackedJob &job);
--- a/include/oleanderhall/scheduling/trackedjob.h
+++ b/include/oleanderhall/scheduling/trackedjob.h
@@ -75,6 +75,7 @@
     JobSpec spec;
     JobState state = JobState::Queued;
     bool isCancelled = false;
+    bool isWithdrawn = false; ///< It was cancelled without having been stored.
     bool isInherited = false; ///< Accepted before this owner took over.
     bool isReleased = false; ///< Its release is decided, but possibly not recorded yet.
     bool isReleaseInBatch = false; ///< The write in flight contains its release.
--- a/src/jobs/jobprogress.cpp
+++ b/src/jobs/jobprogress.cpp
@@ -87,6 +87,8 @@
         record["released"] = value(true);
     if (!progress.releasedPools.empty())
         record["pools"] = encodePools(progress.releasedPools);
+    if (progress.isWithdrawn)
+        record["withdrawn"] = value(true);
     if (progress.stillRunning != Resources())
         record["running"] = value::array({value(progress.stillRunning.milliCores),
                                           value(progress.stillRunning.memoryMb),
@@ -114,6 +116,7 @@
         }
         if (record.has_field("team"))
             progress.team = TeamId(record.at("team").as_string());
+        progress.isWithdrawn = record.has_field("withdrawn");
         if (record.has_field("running")) {
             const value &running = record.at("running");
             progress.stillRunning = {.milliCores = running.at(0).as_number().to_int64(),
--- a/src/jobs/storequeue.cpp
+++ b/src/jobs/storequeue.cpp
@@ -83,6 +83,12 @@
     complete(id, StoreOutcome::AlreadyStored, version);
 }
 
+void StoreQueue::onWithdrawn(JobId id)
+{
+    removeFromQueues(id);
+    complete(id, StoreOutcome::Withdrawn, 0);
+}
+
 void StoreQueue::refuseUnsent()
 {
     for (std::deque<JobId> *queue : {&m_unsent, &m_last}) {
--- a/src/node/callerapi.cpp
+++ b/src/node/callerapi.cpp
@@ -84,6 +84,18 @@
     return !progress.team.empty() && progress.team != team;
 }
 
+/// Returns whether `rows`, which are those of job `id`, show a stored job that callers of `team`
+/// may cancel.
+bool isCancellable(JobId id, const std::vector<platform::TableRow> &rows, TeamId team)
+{
+    return std::none_of(rows.begin(), rows.end(), [&](const platform::TableRow &row) {
+        const auto key = parseJobKey(row.key);
+        const auto progress = key && key->row == JobRow::Progress ? decodeProgress(id, row.value)
+                                                                  : std::nullopt;
+        return progress && (progress->isWithdrawn || isOfOtherTeam(*progress, team));
+    });
+}
+
 /// Returns a value in [0, 1) that differs between processes.
 double randomFraction()
 {
@@ -320,6 +332,11 @@
         recordTeamCall(target.team, "accepted");
         co_return jsonReply(R"({"state":"queued"})");
     }
+    if (outcome == StoreOutcome::Withdrawn) {
+        logInfo("job_refused", {{"job", textOf(id)}, {"reason", "job_withdrawn"}});
+        recordTeamCall(target.team, "job_withdrawn");
+        co_return refuse(kGone, "job_withdrawn", std::nullopt);
+    }
     const bool mayBeStored = outcome == StoreOutcome::Unknown;
     const char *reason = mayBeStored ? "outcome_unknown" : "table_refused";
     logWarning("job_refused", {{"job", textOf(id)}, {"reason", reason}});
@@ -347,7 +364,8 @@
         isCancelled = isCancelled || (key && key->row == JobRow::Cancel);
     }
     // The job of another team is answered like an unknown one.
-    if (result.rows.empty() || (progress && isOfOtherTeam(*progress, target.team)))
+    if (result.rows.empty()
+        || (progress && (progress->isWithdrawn || isOfOtherTeam(*progress, target.team))))
         co_return refuse(kGone, "no_such_job", std::nullopt);
     if (!progress) {
         logWarning("job_progress_unreadable", {{"job", textOf(id)}});
@@ -365,16 +383,56 @@
         co_return refuse(kUnavailable, "table_unreachable", kRetryAfter);
     if (!mayTakeEffect(target))
         co_return refuse(kUnavailable, "configuration_stale", kRetryAfter);
-    const bool isOtherTeams = std::any_of(
-        result.rows.begin(), result.rows.end(), [&](const platform::TableRow &row) {
-            const auto key = parseJobKey(row.key);
-            const auto progress = key && key->row == JobRow::Progress
-                ? decodeProgress(id, row.value)
-                : std::nullopt;
-            return progress && isOfOtherTeam(*progress, target.team);
-        });
-    if (result.rows.empty() || isOtherTeams)
+    if (result.rows.empty())
+        co_return co_await withdraw(target, id);
+    if (!isCancellable(id, result.rows, target.team))
         co_return refuse(kGone, "no_such_job", std::nullopt);
+    co_return co_await storeCancellation(id);
+}
+
+/// Cancels a job that isn't stored. A write of it whose caller didn't learn the outcome may still
+/// be performed, so a record takes the place of the job's progress, on whose absence that write
+/// depends.
+asio::awaitable<Reply> CallerApi::withdraw(const JobTarget &target, JobId id)
+{
+    const std::string progressKey = jobKey(id, JobRow::Progress);
+    const JobProgress record{.id = id,
+                             .state = JobState::Cancelled,
+                             .team = target.team,
+                             .acceptedMs = m_view.tableTime(monotonicNow()),
+                             .isWithdrawn = true};
+    Transaction transaction{.partition = jobPartitionName(jobPartition(id))};
+    transaction.preconditions.push_back({kProgressTable, progressKey, 0});
+    transaction.writes.push_back({kProgressTable, progressKey, encodeProgress(record)});
+    // The owner watches this table and deletes the record when it has expired.
+    transaction.writes.push_back({kJobTable, jobKey(id, JobRow::Cancel), "1"});
+    for (int attempt = 1; attempt <= kCancelAttempts; ++attempt) {
+        const TransactionResult written = co_await transact(transaction);
+        if (written.outcome == TransactionResult::Outcome::Done) {
+            m_metrics.count("jobs_withdrawn_total");
+            logInfo("job_withdrawn",
+                    {{"job", textOf(id)}, {"version", std::to_string(written.version)}});
+            co_return refuse(kGone, "no_such_job", std::nullopt);
+        }
+        if (written.outcome == TransactionResult::Outcome::Conflict) {
+            if (!isCancellable(id, written.rows, target.team))
+                co_return refuse(kGone, "no_such_job", std::nullopt);
+            co_return co_await storeCancellation(id); // it was stored meanwhile
+        }
+        co_await pauseBeforeRetry();
+    }
+    co_return refuse(kUnavailable, "table_unreachable", kRetryAfter);
+}
+
+asio::awaitable<void> CallerApi::pauseBeforeRetry()
+{
+    asio::steady_timer pause(m_io, kRetryDelay);
+    boost::system::error_code ignored;
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<Reply> CallerApi::storeCancellation(JobId id)
+{
     Transaction transaction{.partition = jobPartitionName(jobPartition(id))};
     for (const char *table : {kJobTable, kProgressTable})
         transaction.writes.push_back({table, jobKey(id, JobRow::Cancel), "1"});
@@ -386,9 +444,7 @@
                     {{"job", textOf(id)}, {"version", std::to_string(written.version)}});
             co_return jsonReply(R"({"state":"cancelled"})");
         }
-        asio::steady_timer pause(m_io, kRetryDelay);
-        boost::system::error_code ignored;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pauseBeforeRetry();
     }
     co_return refuse(kUnavailable, "table_unreachable", kRetryAfter);
 }
--- a/src/node/callerapi.h
+++ b/src/node/callerapi.h
@@ -52,6 +52,9 @@
     void recordTeamCall(TeamId team, const char *outcome);
     boost::asio::awaitable<Reply> jobState(const JobTarget &target, JobId id);
     boost::asio::awaitable<Reply> cancel(const JobTarget &target, JobId id);
+    boost::asio::awaitable<Reply> storeCancellation(JobId id);
+    boost::asio::awaitable<Reply> withdraw(const JobTarget &target, JobId id);
+    boost::asio::awaitable<void> pauseBeforeRetry();
     /// Returns the refusal of a call that may not use the target's queue, or nothing. Sets the
     /// target's team.
     std::optional<Reply> refuseWithoutKey(JobTarget &target, std::string_view key);
--- a/src/node/jobwriter.cpp
+++ b/src/node/jobwriter.cpp
@@ -32,6 +32,14 @@
     return StoreQueue::Result::Unanswered;
 }
 
+/// Returns whether the row of the job's progress shows that the job was cancelled before it was
+/// stored.
+bool isWithdrawn(JobId id, const platform::TableRow &row)
+{
+    const std::optional<JobProgress> progress = decodeProgress(id, row.value);
+    return progress && progress->isWithdrawn;
+}
+
 } // namespace
 
 JobWriter::JobWriter(boost::asio::io_context &io, platform::TableClient &table, TableProbe &probe,
@@ -129,14 +137,21 @@
     else
         m_probe.onAnswered(sentAt, now);
     std::set<JobId> stored;
+    std::vector<JobId> withdrawn;
     if (result.outcome == platform::TransactionResult::Outcome::Conflict) {
         for (const platform::TableRow &row : result.rows) {
             const auto key = parseJobKey(row.key);
-            if (key && key->row == JobRow::Progress && row.version > 0 && !row.isDeleted)
+            if (!key || key->row != JobRow::Progress || row.version == 0 || row.isDeleted)
+                continue;
+            if (isWithdrawn(key->id, row))
+                withdrawn.push_back(key->id);
+            else
                 stored.insert(key->id);
         }
     }
     m_queue.onBatchResult(resultOf(result.outcome), result.version, stored, now);
+    for (const JobId id : withdrawn)
+        m_queue.onWithdrawn(id);
     if (result.outcome == platform::TransactionResult::Outcome::Refused && m_isBetterElsewhere
         && m_isBetterElsewhere())
         m_queue.refuseUnsent();
@@ -150,7 +165,11 @@
                  [this, id](const platform::ReadResult &result) {
                      if (!result.isSuccess || result.rows.empty())
                          return;
-                     m_queue.onRowFound(id, result.rows.front().version);
+                     const platform::TableRow &row = result.rows.front();
+                     if (isWithdrawn(id, row))
+                         m_queue.onWithdrawn(id);
+                     else
+                         m_queue.onRowFound(id, row.version);
                      step();
                  });
 }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -108,8 +108,11 @@
                        Instant accepted)
 {
     const JobId id = spec.id;
-    if (m_jobs.contains(id))
+    if (const auto known = m_jobs.find(id); known != m_jobs.end()) {
+        if (known->second.isWithdrawn)
+            recordWithdrawn(known->second, std::move(spec));
         return;
+    }
     TrackedJob &job = m_jobs[id];
     job.spec = std::move(spec);
     job.state = progress.state;
@@ -214,7 +217,11 @@
 void Scheduler::cancel(JobId id, Instant now)
 {
     const auto found = m_jobs.find(id);
-    if (found == m_jobs.end() || found->second.isCancelled || isFinal(found->second.state))
+    if (found == m_jobs.end()) {
+        addWithdrawn(id, now);
+        return;
+    }
+    if (found->second.isCancelled || isFinal(found->second.state))
         return;
     TrackedJob &job = found->second;
     job.isCancelled = true;
@@ -222,6 +229,28 @@
     finish(job, JobState::Cancelled, now);
 }
 
+/// Adds a job that was cancelled while it wasn't stored, so that its records are deleted in time.
+void Scheduler::addWithdrawn(JobId id, Instant now)
+{
+    TrackedJob &job = m_jobs[id];
+    job.spec.id = id;
+    job.state = JobState::Cancelled;
+    job.isCancelled = true;
+    job.isWithdrawn = true;
+    job.ended = now;
+    indexEnded(job);
+    logDecision({"job_withdrawn", {{"job", textOf(id)}}});
+}
+
+/// Records the end of a job that was stored after all: a list that is read page by page may show
+/// the cancellation without the job.
+void Scheduler::recordWithdrawn(TrackedJob &job, JobSpec spec)
+{
+    job.spec = std::move(spec);
+    job.isWithdrawn = false;
+    markDirty(job);
+}
+
 void Scheduler::cordon(const std::set<WorkerId> &workers)
 {
     for (auto &[id, worker] : m_workers) {
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -101,6 +101,13 @@
     CHECK(decodeProgress({77}, encodeProgress(progress)) == progress);
 }
 
+TEST_CASE("JobProgress_jobWithdrawn_isRestored", "[jobs]")
+{
+    // Guards against a cancelled job that a node shows or accepts again.
+    const JobProgress progress{.id = {77}, .state = JobState::Cancelled, .isWithdrawn = true};
+    CHECK(decodeProgress({77}, encodeProgress(progress)) == progress);
+}
+
 TEST_CASE("JobProgress_endedJobStillUsesResources_isRestored", "[jobs]")
 {
     const JobProgress progress{.id = {77},
--- a/tests/scheduling/scheduler_test.cpp
+++ b/tests/scheduling/scheduler_test.cpp
@@ -112,6 +112,35 @@
     CHECK(scheduler.workers().at(starts[0].worker).acceptsNewTasks(now));
 }
 
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_cancellationOfAnUnknownJob_itsRecordsAreDeletedInTime",
+                 "[scheduler]")
+{
+    // Guards against records of jobs that were cancelled before they were stored and stay for ever.
+    syncAllWorkers();
+    scheduler.cancel({7}, now);
+    CHECK(scheduler.areIndexesConsistent());
+    tick<StartCommand>();
+    CHECK(writes.empty());
+    advance(SchedulerSettings{}.statusLifetime + std::chrono::minutes(1));
+    tick<StartCommand>();
+    REQUIRE(writes.size() == 1);
+    CHECK(writes[0].droppedJobs == std::vector<JobId>{{7}});
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_cancellationReadBeforeItsJob_jobIsCancelledAndNeverRuns",
+                 "[scheduler]")
+{
+    // Guards against a cancelled job that runs because a list showed its cancellation first.
+    syncAllWorkers();
+    scheduler.cancel({1}, now);
+    submit(makeJob(1, "pool", {makeStep(2, Millis(100))}));
+    CHECK(tick<StartCommand>().empty());
+    REQUIRE(writes.size() == 1);
+    REQUIRE(writes[0].updates.size() == 1);
+    CHECK(writes[0].updates[0].state == JobState::Cancelled);
+    CHECK(scheduler.areIndexesConsistent());
+}
+
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_startUnansweredThreeTimes_stopsTheRunFirst",
                  "[scheduler]")
 {
