--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -208,6 +208,8 @@
     void unplace(const WorkerRun &run, Instant now);
     WorkerRun *findRun(WorkerState &worker, const TaskId &task, std::int64_t run);
     void requestStop(WorkerRun &run, Instant now);
+    void abandonStart(WorkerState &worker, WorkerRun &run, Instant now);
+    void stopAbandonedStarts(WorkerState &worker, Instant sent, Instant now);
     void stopJob(TrackedJob &job, Instant now);
     void addWithdrawn(JobId id, Instant now);
     void recordWithdrawn(TrackedJob &job, JobSpec spec);
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -102,6 +102,22 @@
     run.nextSend = now;
 }
 
+/// Sends the start of the run no more. The run may be at work, so it isn't stopped before a status
+/// shows that it isn't.
+void Scheduler::abandonStart(WorkerState &worker, WorkerRun &run, Instant now)
+{
+    if (run.startAbandoned != Instant{})
+        return;
+    run.startAbandoned = now;
+    worker.nextPoll = now;
+    logDecision({"start_abandoned",
+                 {{"task", textOf(run.task)},
+                  {"run", std::to_string(run.run)},
+                  {"worker", worker.info.id.name()},
+                  {"attempts", std::to_string(run.startAttempts)}},
+                 true});
+}
+
 void Scheduler::dropAllRuns(WorkerState &worker, const char *reason, Instant now)
 {
     if (!worker.runs.empty()) {
@@ -231,12 +247,15 @@
     if (run->phase != WorkerRun::Phase::Starting)
         return; // it is being stopped already
     if (run->mayHaveStarted) {
-        if (run->startAttempts < m_settings.maxStartAttempts && result != CallResult::RunTooOld)
+        if (result == CallResult::RunTooOld) {
+            requestStop(*run, now); // it has been stopped or has ended
+        } else if (run->startAttempts < m_settings.maxStartAttempts) {
             run->nextSend = now + m_settings.commandRetryDelay;
-        else
-            requestStop(*run, now);
-        if (result == CallResult::Unknown && run->phase == WorkerRun::Phase::Stopping)
-            avoid(worker, "starts were not answered", now);
+        } else {
+            abandonStart(worker, *run, now);
+            if (result == CallResult::Unknown)
+                avoid(worker, "starts were not answered", now);
+        }
         return;
     }
     const WorkerRun ended = *run;
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -62,6 +62,8 @@
         removeRun(worker, index);
         unplace(ended, now);
     }
+    if (isComplete)
+        stopAbandonedStarts(worker, sent, now);
     for (WorkerRun &run : worker.runs)
         noteOverdueRun(worker, run, now);
     stopStalledRuns(worker, now);
@@ -73,6 +75,17 @@
         worker.nextPoll = now + m_settings.commandRetryDelay;
 }
 
+/// Stops the runs whose start was given up before the poll of this status was sent at `sent`, and
+/// which the status doesn't list.
+void Scheduler::stopAbandonedStarts(WorkerState &worker, Instant sent, Instant now)
+{
+    for (WorkerRun &run : worker.runs) {
+        if (run.phase == WorkerRun::Phase::Starting && run.startAbandoned != Instant{}
+            && run.startAbandoned <= sent)
+            requestStop(run, now);
+    }
+}
+
 void Scheduler::handleActiveRun(WorkerState &worker, const ActiveRun &reported, Instant now)
 {
     WorkerRun *known = findRun(worker, reported.task, reported.run);
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -94,15 +94,19 @@
                                          .task = run.task,
                                          .run = run.run});
         } else if (run.phase == WorkerRun::Phase::Starting && run.startAttempts > 0
-                   && worker.isSynced) {
+                   && run.startAbandoned == Instant{} && worker.isSynced) {
             if (!m_startGate.mayStart(now))
                 continue;
             const auto job = m_jobs.find(run.task.job);
-            // An earlier start may not have arrived, so the worker may not hold the task yet.
-            if (job == m_jobs.end() || isFinal(job->second.state) || worker.isOverCapacity()) {
+            if (job == m_jobs.end() || isFinal(job->second.state)) {
                 requestStop(run, now);
                 continue;
             }
+            // An earlier start may not have arrived, so the worker may not hold the task yet.
+            if (worker.isOverCapacity()) {
+                abandonStart(worker, run, now);
+                continue;
+            }
             if (!mayRepeatStart(run, now)) {
                 run.nextSend = now + m_settings.commandRetryDelay;
                 continue;
@@ -146,6 +150,7 @@
         const bool isBudgeted = spec && spec->maxDisrupted >= 0;
         hasBudgetedRuns = hasBudgetedRuns || isBudgeted;
         needsAnswerNow = needsAnswerNow
+            || (run.phase == WorkerRun::Phase::Starting && run.startAbandoned != Instant{})
             || (isBudgeted && worker.statusSent < worker.distrustedUntil
                 && now >= worker.distrustedUntil)
             || (run.phase == WorkerRun::Phase::Stopping && run.isStopConfirmed
--- a/tests/scheduling/scheduler_test.cpp
+++ b/tests/scheduling/scheduler_test.cpp
@@ -144,6 +144,7 @@
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_startUnansweredThreeTimes_stopsTheRunFirst",
                  "[scheduler]")
 {
+    // Guards against a second run while a start that wasn't answered may still be carried out.
     syncAllWorkers();
     submit(makeJob(1, "pool", {makeStep(1, Millis(100))}));
     std::vector<StartCommand> starts = tick<StartCommand>();
@@ -157,9 +158,14 @@
         if (attempt < 2)
             starts = tick<StartCommand>();
     }
+    CHECK(tick<StartCommand>().empty());
+    CHECK(tick<StopCommand>().empty()); // the run may be at work
+    answerPoll(polls.back()); // it isn't
     const std::vector<StopCommand> stops = tick<StopCommand>();
     REQUIRE(stops.size() == 1);
     CHECK(stops[0].run == first.run);
+    CHECK(stops[0].worker == first.worker);
+    CHECK(tick<StartCommand>().empty());
 }
 
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_endNotRecorded_isNotAcknowledged", "[scheduler]")
@@ -237,7 +243,11 @@
         if (attempt < 2)
             starts = tick<StartCommand>();
     }
+    CHECK(tick<StartCommand>().empty());
+    CHECK(tick<StopCommand>().empty()); // the run may be at work
+    answerPoll(polls.back()); // it isn't
     CHECK(tick<StopCommand>().size() == 1);
+    CHECK(tick<StartCommand>().empty());
 }
 
 TEST_CASE_METHOD(SchedulerTest, "Scheduler_inheritedGangFailures_areAddedUp", "[scheduler]")
--- a/tests/scheduling/schedulerbudget_test.cpp
+++ b/tests/scheduling/schedulerbudget_test.cpp
@@ -1,6 +1,8 @@
 // Disruption budgets: which runs maintenance may end.
 #include "../support/schedulerfixture.h"
 
+#include <algorithm>
+
 using namespace oleanderhall;
 using namespace oleanderhall::test;
 
@@ -204,3 +206,54 @@
     CHECK(again[0].worker != worker);
     CHECK(again[0].checkpoint == "saved");
 }
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_startsUnansweredAndTasksAtWork_tasksGoOn", "[scheduler]")
+{
+    // Guards against stops that exceed a disruption budget (review case 5): a worker carried out
+    // the starts of two tasks, but its answers were lost until their last attempt.
+    syncAllWorkers();
+    submit(longRunningJob(1, 2, 1));
+    std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 2);
+    const std::vector<StartCommand> first = starts;
+    polls.clear();
+    for (int attempt = 0; attempt < SchedulerSettings{}.maxStartAttempts; ++attempt) {
+        REQUIRE(starts.size() == 2);
+        for (const StartCommand &start : starts)
+            scheduler.onStartResult(start, CallResult::Unknown, now);
+        advance(SchedulerSettings{}.commandRetryDelay);
+        starts = tick<StartCommand>();
+    }
+    CHECK(starts.empty());
+    const auto poll = std::find_if(polls.rbegin(), polls.rend(), [&](const PollRequest &request) {
+        return request.worker == first[0].worker;
+    });
+    REQUIRE(poll != polls.rend());
+    answerPoll(*poll, {readyRun(first[0]), readyRun(first[1])});
+    for (int step = 0; step < 100; ++step, advance(Millis(10)))
+        CHECK(tick<StopCommand>().empty());
+    for (const WorkerRun &run : scheduler.workers().at(first[0].worker).runs)
+        CHECK(run.phase == WorkerRun::Phase::Running);
+}
+
+TEST_CASE_METHOD(SchedulerTest, "Scheduler_capacityShrinksWhileStartsAreUnanswered_tasksGoOn",
+                 "[scheduler]")
+{
+    // Guards against stops that exceed a disruption budget: the worker's capacity shrank before the
+    // starts were repeated, while the tasks were at work.
+    syncAllWorkers();
+    submit(longRunningJob(1, 2, 1));
+    const std::vector<StartCommand> starts = tick<StartCommand>();
+    REQUIRE(starts.size() == 2);
+    const WorkerId worker = starts[0].worker;
+    REQUIRE(starts[1].worker == worker);
+    for (const StartCommand &start : starts)
+        scheduler.onStartResult(start, CallResult::Unknown, now);
+    const WorkerId other = worker == w1 ? w2 : w1;
+    scheduler.setWorkers(
+        {makeWorker(worker.name(), "pool", 1000), makeWorker(other.name(), "pool", 8000)}, now);
+    advance(SchedulerSettings{}.commandRetryDelay);
+    CHECK(tick<StopCommand>().empty());
+    answerPoll({.worker = worker}, {readyRun(starts[0]), readyRun(starts[1])});
+    CHECK(tick<StopCommand>().empty());
+}
--- a/tests/scheduling/schedulercapacity_test.cpp
+++ b/tests/scheduling/schedulercapacity_test.cpp
@@ -131,6 +131,8 @@
         return;
     }
     CHECK(only<StartCommand>(first).empty());
+    CHECK(tick<StopCommand>().empty()); // the runs may be at work
+    answerPoll({.worker = w1}); // they aren't
     const std::vector<StopCommand> stops = tick<StopCommand>();
     REQUIRE(stops.size() == 2);
     for (const StopCommand &stop : stops)
