--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -316,9 +316,18 @@
         });
 }
 
-void Deployment::writeDamagedRow()
+void Deployment::writeDamagedRows()
 {
+    constexpr std::size_t kDepth = 20000; // a row holds 64 KB
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    const std::string begin = R"({"service":"pool-0","zone":"z","state":"ready","address":")";
     m_table.put(platform::kWorkerTable, "w-damaged", "{\"state\":7,\"address\":[]");
+    m_table.put(platform::kWorkerTable, "w-nested",
+                begin + R"(127.0.0.1:80","capacity":{"cpu":1},"labels":)" + nested + "}");
+    m_table.put(platform::kWorkerTable, "w-huge",
+                begin + R"(127.0.0.1:80","capacity":{"cpu":1e400}})");
+    m_table.put(platform::kWorkerTable, "w-port",
+                begin + R"(127.0.0.1:65536","capacity":{"cpu":1}})");
 }
 
 bool Deployment::restartNodes()
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -82,8 +82,8 @@
     void startWorker(int index);
     /// Changes the capacity of a running worker. Its entry shows it after one heartbeat.
     void resizeWorker(int index, std::int64_t milliCores);
-    /// Writes an unreadable row to the worker table.
-    void writeDamagedRow();
+    /// Writes rows to the worker table from which no worker can be read.
+    void writeDamagedRows();
     /// Restarts the nodes that have terminated. Returns whether one terminated without a signal
     /// from this process.
     bool restartNodes();
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -108,7 +108,7 @@
     default:
         schedule(begin, "configuration changed, unreadable worker row written", [this] {
             m_deployment.changeConfig();
-            m_deployment.writeDamagedRow();
+            m_deployment.writeDamagedRows();
         });
         return;
     }
--- a/tests/node/workerdirectory_test.cpp
+++ b/tests/node/workerdirectory_test.cpp
@@ -75,3 +75,30 @@
     CHECK(directory.apply({.rows = {{.key = "w1", .value = "{\"state\":7"}}}));
     CHECK(directory.workers().size() == 1);
 }
+
+TEST_CASE_METHOD(WorkerDirectoryTest, "WorkerDirectory_oddEntryOfAnotherWriter_othersAreFollowed",
+                 "[node]")
+{
+    // Guards against a process that ends, or follows the list no longer, because of one entry.
+    constexpr std::size_t kDepth = 20000; // a row holds 64 KB
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    const auto with = [](const std::string &from, const std::string &to) {
+        std::string entry = row("odd").value;
+        return entry.replace(entry.find(from), from.size(), to);
+    };
+    const std::vector<std::string> entries{nested,
+                                           with(R"(["a"])", nested),
+                                           with("16000", "1e400"),
+                                           with("16000", "123456789012345678901234567890"),
+                                           with("10.0.0.1:80", "10.0.0.1:65536"),
+                                           with("10.0.0.1:80", "10.0.0.1:99999999999999999999"),
+                                           with("10.0.0.1:80", "10.0.0.1:-1"),
+                                           with("10.0.0.1:80", "10.0.0.1:0")};
+    for (const std::string &entry : entries) {
+        directory.apply(snapshot({row("w1"), {.key = "odd", .value = entry}, row("w2")}));
+        CHECK(directory.workers().size() == 2);
+        directory.apply({.rows = {{.key = "odd", .value = entry}, row("w1", "2", "draining")}});
+        CHECK(directory.workers().size() == 2);
+        CHECK(directory.workers().front().isDraining);
+    }
+}
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -108,6 +108,29 @@
     survivesDamage(kWorkerEntry, [](const std::string &text) { decodeWorker("i-1", text); });
 }
 
+TEST_CASE("Discovery_numberTooLarge_namesNoWorker", "[platform]")
+{
+    // Guards against sums of capacities that overflow, and against work that waits for a worker of
+    // impossible size.
+    const std::string number = GENERATE("1e400", "-1e400", "123456789012345678901234567890",
+                                        "9000000000000000", "1000000001", "-1");
+    for (const char *member : {R"("cpu":16000)", R"("memMb":32768)", R"("gpu":0)"}) {
+        std::string entry = kWorkerEntry;
+        const std::string text = member;
+        const std::string name = text.substr(0, text.find(':') + 1);
+        entry.replace(entry.find(text), text.size(), name + number);
+        CHECK_THROWS_AS(decodeWorker("i-1", entry), MalformedMessage);
+    }
+}
+
+TEST_CASE("Discovery_namesAreEmpty_namesNoWorker", "[platform]")
+{
+    std::string entry = kWorkerEntry;
+    entry.replace(entry.find("huvo11a"), std::string("huvo11a").size(), "");
+    CHECK_THROWS_AS(decodeWorker("i-1", entry), MalformedMessage);
+    CHECK_THROWS_AS(decodeWorker("", kWorkerEntry), MalformedMessage);
+}
+
 TEST_CASE("CallerMessages_wholeJob_isDecoded", "[platform]")
 {
     JobSpec job;
