--- a/include/oleanderhall/scheduling/scheduler.h
+++ b/include/oleanderhall/scheduling/scheduler.h
@@ -341,7 +341,7 @@
     double remainingWork(const TrackedJob &job, const Occurrence *occurrence) const;
     std::int64_t nextRunNumber(std::int64_t last) const;
     JobProgress progressOf(const TrackedJob &job) const;
-    static void addReleasedPools(TrackedJob &job, const JobProgress &progress);
+    static void restoreReleases(TrackedJob &job, const JobProgress &progress);
     static std::vector<PoolId> releasedPoolsOf(const TrackedJob &job);
 
     SchedulerSettings m_settings;
--- a/include/oleanderhall/scheduling/workerstate.h
+++ b/include/oleanderhall/scheduling/workerstate.h
@@ -48,7 +48,7 @@
     bool mayHaveStarted = false; ///< A start command was not answered.
     /// When its start was given up; the epoch if it wasn't. The next status decides: a run that it
     /// lists goes on, and any other is stopped, as its start may still be carried out.
-    Instant startAbandoned;
+    Instant startAbandonedAt;
     bool isReported = false; ///< A status of the worker's present incarnation listed it as active.
     bool isStopConfirmed = false;
     Instant stopConfirmedAt;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -126,7 +126,7 @@
     const auto queue = m_queues.find(job.spec.queue.name);
     if (queue != m_queues.end() && job.spec.config <= m_version)
         job.spec.queue = queue->second;
-    addReleasedPools(job, progress);
+    restoreReleases(job, progress);
     if (!job.spec.team.empty())
         m_newTeamJobs.push_back(id);
     job.inheritedRunning = progress.stillRunning;
@@ -423,8 +423,8 @@
     return result;
 }
 
-/// Sets into which pools the job was released, as its stored progress shows.
-void Scheduler::addReleasedPools(TrackedJob &job, const JobProgress &progress)
+/// Sets for which pools the job was released, as its stored progress shows.
+void Scheduler::restoreReleases(TrackedJob &job, const JobProgress &progress)
 {
     if (!progress.isReleased)
         return;
--- a/src/scheduling/schedulerevents.cpp
+++ b/src/scheduling/schedulerevents.cpp
@@ -106,9 +106,9 @@
 /// shows that it isn't.
 void Scheduler::abandonStart(WorkerState &worker, WorkerRun &run, Instant now)
 {
-    if (run.startAbandoned != Instant{})
+    if (run.startAbandonedAt != Instant{})
         return;
-    run.startAbandoned = now;
+    run.startAbandonedAt = now;
     worker.nextPoll = now;
     logDecision({"start_abandoned",
                  {{"task", textOf(run.task)},
--- a/src/scheduling/schedulerstatus.cpp
+++ b/src/scheduling/schedulerstatus.cpp
@@ -80,8 +80,8 @@
 void Scheduler::stopAbandonedStarts(WorkerState &worker, Instant sent, Instant now)
 {
     for (WorkerRun &run : worker.runs) {
-        if (run.phase == WorkerRun::Phase::Starting && run.startAbandoned != Instant{}
-            && run.startAbandoned <= sent)
+        if (run.phase == WorkerRun::Phase::Starting && run.startAbandonedAt != Instant{}
+            && run.startAbandonedAt <= sent)
             requestStop(run, now);
     }
 }
--- a/src/scheduling/schedulertick.cpp
+++ b/src/scheduling/schedulertick.cpp
@@ -94,7 +94,7 @@
                                          .task = run.task,
                                          .run = run.run});
         } else if (run.phase == WorkerRun::Phase::Starting && run.startAttempts > 0
-                   && run.startAbandoned == Instant{} && worker.isSynced) {
+                   && run.startAbandonedAt == Instant{} && worker.isSynced) {
             if (!m_startGate.mayStart(now))
                 continue;
             const auto job = m_jobs.find(run.task.job);
@@ -150,7 +150,7 @@
         const bool isBudgeted = spec && spec->maxDisrupted >= 0;
         hasBudgetedRuns = hasBudgetedRuns || isBudgeted;
         needsAnswerNow = needsAnswerNow
-            || (run.phase == WorkerRun::Phase::Starting && run.startAbandoned != Instant{})
+            || (run.phase == WorkerRun::Phase::Starting && run.startAbandonedAt != Instant{})
             || (isBudgeted && worker.statusSent < worker.distrustedUntil
                 && now >= worker.distrustedUntil)
             || (run.phase == WorkerRun::Phase::Stopping && run.isStopConfirmed
